--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/platform/HostList.kt
@@ -0,0 +1,27 @@
+package org.persimmonrelay.platform
+
+import arrow.core.Either
+import kotlinx.serialization.Serializable
+import org.persimmonrelay.identity.FailureDomain
+import org.persimmonrelay.identity.ServerId
+
+/** A host's state in the platform's list, which lags behind the truth. */
+@Serializable
+public enum class HostState { LIVE, LEAVING }
+
+/** One entry of the host list. [address] is `ip:port`. */
+@Serializable
+public data class Host(
+    val server: ServerId,
+    val address: String,
+    val domain: FailureDomain,
+    val region: String,
+    val price: PriceClass,
+    val state: HostState,
+    val incarnation: String,
+)
+
+/** The platform's list of hosts of backend servers. A host that is gone is absent. */
+public interface HostList {
+    public suspend fun hosts(): Either<StoreUnavailable, List<Host>>
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/routing/RoundRobinDispatcher.kt
@@ -0,0 +1,38 @@
+package org.persimmonrelay.routing
+
+import org.persimmonrelay.catalog.BackendServer
+import org.persimmonrelay.clock.Moment
+import org.persimmonrelay.identity.ServerId
+import org.persimmonrelay.outcome.NotRunReason
+import org.persimmonrelay.outcome.Refusal
+import kotlin.time.Duration.Companion.seconds
+
+/** The naive baseline: starts every request at once on the next server in turn. */
+public class RoundRobinDispatcher : Dispatcher {
+    private var servers: List<BackendServer> = emptyList()
+    private var turn = 0
+
+    override fun on(event: DispatchEvent, now: Moment): List<DispatchAction> = when (event) {
+        is DispatchEvent.Arrived -> listOf(place(event.request))
+        is DispatchEvent.ServersChanged -> {
+            servers = event.servers.filterNot { it.drain }
+            emptyList()
+        }
+        else -> emptyList()
+    }
+
+    private fun place(request: DispatchRequest): DispatchAction {
+        if (servers.isEmpty()) return DispatchAction.Refuse(request.id, NO_SERVER)
+        val server = ServerId(servers[turn++ % servers.size].name)
+        return DispatchAction.Start(request.id, Placement(server, server))
+    }
+
+    private companion object {
+        val NO_SERVER =
+            Refusal.NotRun(
+                NotRunReason.NO_SERVER,
+                "No backend server of this deployment takes work now; try again after the given time.",
+                5.seconds,
+            )
+    }
+}
