--- a/src/main/kotlin/org/persimmonrelay/settings/NodeSettings.kt
+++ b/src/main/kotlin/org/persimmonrelay/settings/NodeSettings.kt
@@ -54,8 +54,8 @@
 /** Limits and periods, with their units in the names. */
 @Serializable
 public data class BoundSettings(
-    val bodyBytes: Long = 8L * 1024 * 1024,
-    val headerBytes: Int = 32 * 1024,
+    val bodyBytes: Long = DEFAULT_BODY_BYTES,
+    val headerBytes: Int = DEFAULT_HEADER_BYTES,
     val openStreams: Int = 20_000,
     val configPollMillis: Long = 2_000,
     val keyFreshnessSeconds: Double = 8.0,
@@ -64,4 +64,9 @@
     val progressTimeoutSeconds: Double = 10.0,
     val drainSeconds: Double = 120.0,
     val timelineEvents: Int = 4_096,
-)
+) {
+    private companion object {
+        const val DEFAULT_BODY_BYTES = 8L * 1024 * 1024
+        const val DEFAULT_HEADER_BYTES = 32 * 1024
+    }
+}
