Carry an answer from a caller to an engine and back

Cause: nothing served callers yet; the other parts need a path to stand on. Change: EntryServer (Ktor, Netty) with chat and text completions, streamed and whole, the list of models, keys checked at each request, DispatchGate as owner of a deployment's dispatcher, AnswerRelay with resume by offset, KtorEngineClient, and a stand-in engine with faults and an HTTP face. The faces that others implement: CatalogSource, KeyVerifier, WithdrawalWatch, OnceManager, UsageMeter. Conclusion: openai-java reads whole and streamed answers, usage, errors and models (OpenAiClientTest).

--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/engine/KtorEngineClient.kt
@@ -0,0 +1,170 @@
+package org.persimmonrelay.engine
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.get
+import io.ktor.client.request.post
+import io.ktor.client.request.preparePost
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsChannel
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.http.contentType
+import io.ktor.http.isSuccess
+import io.ktor.utils.io.readLine
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.async
+import kotlinx.coroutines.channels.ProducerScope
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.channelFlow
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.persimmonrelay.clock.Clock
+import java.io.IOException
+
+/**
+ * Speaks to engines over HTTP/1.1 with one pool of connections for all of them.
+ *
+ * A stream that goes silent is abandoned together with its connection; the engine itself isn't judged.
+ */
+public class KtorEngineClient(
+    private val clock: Clock,
+    private val timeouts: EngineTimeouts = EngineTimeouts(),
+    connectionsPerEngine: Int = CONNECTIONS_PER_ENGINE,
+) : EngineClient,
+    AutoCloseable {
+    private val http =
+        HttpClient(CIO) {
+            expectSuccess = false
+            engine {
+                requestTimeout = 0
+                maxConnectionsCount = Int.MAX_VALUE
+                endpoint.maxConnectionsPerRoute = connectionsPerEngine
+                endpoint.connectTimeout = timeouts.connect.inWholeMilliseconds
+                endpoint.connectAttempts = 1
+            }
+        }
+
+    override fun generate(address: EngineAddress, request: GenerateRequest): Flow<Either<EngineFailure, Piece>> =
+        channelFlow {
+            val failure = stream(address, request)
+            if (failure != null) send(failure.left())
+        }
+
+    private suspend fun ProducerScope<Either<EngineFailure, Piece>>.stream(
+        address: EngineAddress,
+        request: GenerateRequest,
+    ): EngineFailure? = coroutineScope {
+        val watch = SilenceWatch(clock, timeouts)
+        val reading = async { read(address, request, watch) }
+        val watching =
+            launch {
+                watch.awaitSilence()
+                reading.cancel()
+            }
+        reading.join()
+        watching.cancel()
+        if (reading.isCancelled) silent(address) else reading.await()
+    }
+
+    private fun silent(address: EngineAddress) =
+        EngineFailure.Silent("Engine ${address.value} sent nothing in time; the connection is replaced.")
+
+    private suspend fun ProducerScope<Either<EngineFailure, Piece>>.read(
+        address: EngineAddress,
+        request: GenerateRequest,
+        watch: SilenceWatch,
+    ): EngineFailure? = try {
+        http.preparePost(url(address, EngineRoutes.GENERATE)) {
+            json(JSON.encodeToString(request))
+        }.execute { response ->
+            if (!response.status.isSuccess()) return@execute refusal(address, response)
+            val body = response.bodyAsChannel()
+            var line = body.readLine()
+            while (line != null) {
+                if (line.startsWith(EngineRoutes.EVENT_PREFIX)) {
+                    watch.progressed()
+                    send(JSON.decodeFromString<Piece>(line.substring(EngineRoutes.EVENT_PREFIX.length)).right())
+                }
+                line = body.readLine()
+            }
+            null
+        }
+    } catch (e: IOException) {
+        EngineErrors.of(address, e)
+    } catch (e: SerializationException) {
+        EngineFailure.Broken("Engine ${address.value} sent a piece that can't be read: ${e.message}")
+    } catch (e: CancellationException) {
+        currentCoroutineContext().ensureActive()
+        EngineFailure.Broken("The connection to engine ${address.value} was closed: ${e.message}")
+    }
+
+    override suspend fun load(address: EngineAddress): Either<EngineFailure, LoadReport> = control(address) {
+        decode(address, http.get(url(address, EngineRoutes.LOAD)))
+    }
+
+    override suspend fun order(address: EngineAddress, order: EngineOrder): Either<EngineFailure, EngineOrderAnswer> =
+        control(address) {
+            decode(
+                address,
+                http.post(url(address, EngineRoutes.ORDERS)) {
+                    json(JSON.encodeToString(EngineOrder.serializer(), order))
+                },
+            )
+        }
+
+    override fun close() {
+        http.close()
+    }
+
+    private suspend inline fun <reified T> decode(
+        address: EngineAddress,
+        response: HttpResponse,
+    ): Either<EngineFailure, T> {
+        if (!response.status.isSuccess()) return refusal(address, response).left()
+        return JSON.decodeFromString<T>(response.bodyAsText()).right()
+    }
+
+    private suspend fun refusal(address: EngineAddress, response: HttpResponse): EngineFailure {
+        val text = response.bodyAsText()
+        if (response.status == HttpStatusCode.ServiceUnavailable) return EngineFailure.Refused(text)
+        return EngineFailure.Broken("Engine ${address.value} answered ${response.status.value}: $text")
+    }
+
+    private suspend fun <T> control(
+        address: EngineAddress,
+        call: suspend () -> Either<EngineFailure, T>,
+    ): Either<EngineFailure, T> = try {
+        withTimeout(timeouts.control) { call() }
+    } catch (_: TimeoutCancellationException) {
+        EngineFailure.Silent("Engine ${address.value} gave no answer within ${timeouts.control}.").left()
+    } catch (e: IOException) {
+        EngineErrors.of(address, e).left()
+    } catch (e: SerializationException) {
+        EngineFailure.Broken("Engine ${address.value} gave an answer that can't be read: ${e.message}").left()
+    }
+
+    private fun HttpRequestBuilder.json(body: String) {
+        contentType(ContentType.Application.Json)
+        setBody(body)
+    }
+
+    private fun url(address: EngineAddress, path: String) = "http://${address.value}$path"
+
+    private companion object {
+        const val CONNECTIONS_PER_ENGINE = 20_000
+        val JSON = Json { ignoreUnknownKeys = true }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/entry/AnswerRelay.kt
@@ -0,0 +1,198 @@
+/*
+ * Carries one answer from engines to its caller. An attempt that breaks, goes silent or loses a piece is
+ * replaced by another that resumes where the caller's text ends.
+ */
+package org.persimmonrelay.entry
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.ReceiveChannel
+import kotlinx.coroutines.channels.SendChannel
+import kotlinx.coroutines.channels.consumeEach
+import kotlinx.coroutines.channels.produce
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.produceIn
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.persimmonrelay.engine.EngineClient
+import org.persimmonrelay.engine.EngineFailure
+import org.persimmonrelay.engine.GenerateRequest
+import org.persimmonrelay.engine.Piece
+import org.persimmonrelay.identity.ServerId
+import org.persimmonrelay.outcome.Refusal
+import org.persimmonrelay.routing.AttemptEnd
+import org.persimmonrelay.routing.Placement
+import org.persimmonrelay.timeline.EventSink
+import org.persimmonrelay.timeline.with
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Runs [AnswerJob]s on engines. Thread-safe. */
+public class AnswerRelay(
+    private val engine: EngineClient,
+    private val maxAttempts: Int,
+    private val events: EventSink,
+) {
+    /** Begins [job] in [scope]; the channel closes after the last event. Cancelling it cancels the engine's stream. */
+    public fun open(scope: CoroutineScope, job: AnswerJob): ReceiveChannel<AnswerEvent> =
+        scope.produce(capacity = EVENT_BUFFER) {
+            val running = launch { Run(job, channel).start() }
+            job.onEnd { running.cancel() }
+            running.join()
+            job.ended?.let { send(AnswerEvent.Failed(it)) }
+        }
+
+    private inner class Run(private val job: AnswerJob, private val out: SendChannel<AnswerEvent>) {
+        private val assembler = AnswerAssembler()
+        private var attempt = 0
+        private var mayHaveRun = false
+        private var reported = 0
+
+        suspend fun start() {
+            job.gate.retries.earn()
+            while (true) {
+                val placement =
+                    job.gate.place(job.dispatch, assembler.nextOffset).getOrElse { return out.send(failed(it)) }
+                if (!job.beginRunning()) return job.gate.ended(job.dispatch.id, placement.decode, AttemptEnd.CANCELLED)
+                val failure = attempt(placement) ?: return
+                if (!mayRetry()) return out.send(givenUp(failure))
+            }
+        }
+
+        private fun mayRetry() = attempt < maxAttempts && job.gate.retries.take()
+
+        private suspend fun attempt(placement: Placement): EngineFailure? {
+            attempt++
+            assembler.begin(attempt)
+            var end = AttemptEnd.CANCELLED
+            var at = placement.decode
+            try {
+                val prefillFailure = prefill(placement)
+                if (prefillFailure != null) at = placement.prefill
+                val failure = prefillFailure ?: decode(placement)
+                end = endOf(failure)
+                if (failure != null) note(at, failure)
+                return failure
+            } finally {
+                job.gate.ended(job.dispatch.id, at, end)
+            }
+        }
+
+        private fun endOf(failure: EngineFailure?) = when (failure) {
+            null -> AttemptEnd.DONE
+            is EngineFailure.Refused -> AttemptEnd.ENGINE_REFUSED
+            else -> AttemptEnd.ENGINE_FAILED
+        }
+
+        private fun note(server: ServerId, failure: EngineFailure) {
+            if (failure !is EngineFailure.NotSent) mayHaveRun = true
+            events.record(
+                EntryEvent.ATTEMPT_FAILED,
+                "request" with job.dispatch.id,
+                "server" with server,
+                "attempt" with attempt,
+                "resumeAt" with assembler.nextOffset,
+                "failure" with failure.message,
+            )
+        }
+
+        private suspend fun prefill(placement: Placement): EngineFailure? {
+            if (placement.prefill == placement.decode) return null
+            val work = work().copy(prefillOnly = true)
+            return collect(placement.prefill, work) { batch -> batch.any { it.finish != null } }
+        }
+
+        private suspend fun decode(placement: Placement): EngineFailure? {
+            val source = placement.prefill.takeIf { it != placement.decode }
+            val work = work().copy(importFrom = source?.let { job.gate.address(it)?.value })
+            return collect(placement.decode, work) { batch -> handOn(batch) }
+        }
+
+        private fun work() = job.work.copy(attempt = attempt, resumeAt = assembler.nextOffset)
+
+        /** Passes batches to [take] until it returns true; a stream that ends before that has failed. */
+        private suspend fun collect(
+            server: ServerId,
+            work: GenerateRequest,
+            take: suspend (List<Piece>) -> Boolean,
+        ): EngineFailure? {
+            val address =
+                job.gate.address(server) ?: return EngineFailure.NotSent("Server $server has no address any more.")
+            return coroutineScope {
+                val stream = engine.generate(address, work).produceIn(this)
+                val failure = drain(stream, take)
+                if (failure == null) withTimeoutOrNull(LINGER) { stream.consumeEach { } }
+                stream.cancel()
+                failure
+            }
+        }
+
+        private suspend fun drain(
+            stream: ReceiveChannel<Either<EngineFailure, Piece>>,
+            take: suspend (List<Piece>) -> Boolean,
+        ): EngineFailure? {
+            val batch = ArrayList<Piece>()
+            for (first in stream) {
+                var failure = add(first, batch)
+                while (failure == null && batch.size < MAX_BATCH) {
+                    val next = stream.tryReceive().getOrNull() ?: break
+                    failure = add(next, batch)
+                }
+                if (take(batch)) return null
+                if (failure != null) return failure
+                batch.clear()
+                if (assembler.isStuck) return EngineFailure.Broken("A piece was lost; the answer resumes elsewhere.")
+            }
+            return EngineFailure.Broken("The stream ended without an end mark.")
+        }
+
+        private fun add(item: Either<EngineFailure, Piece>, batch: MutableList<Piece>): EngineFailure? = item.fold(
+            ifLeft = { it },
+            ifRight = {
+                batch += it
+                null
+            },
+        )
+
+        /** Hands on what is in order; true at the end mark. */
+        private suspend fun handOn(batch: List<Piece>): Boolean {
+            val ready = ArrayList<Piece>(batch.size)
+            batch.forEach { assembler.accept(it, ready) }
+            if (ready.isNotEmpty()) {
+                progress(ready.last().cachedTokens)
+                out.send(AnswerEvent.Pieces(ready))
+            }
+            return assembler.finish != null
+        }
+
+        private fun progress(cachedTokens: Int) {
+            if (reported > 0 && assembler.nextOffset < reported + PROGRESS_STEP) return
+            reported = maxOf(1, assembler.nextOffset)
+            job.gate.progressed(job.dispatch.id, assembler.nextOffset, cachedTokens)
+        }
+
+        private fun failed(refusal: Refusal.NotRun): AnswerEvent.Failed {
+            if (!mayHaveRun) return AnswerEvent.Failed(refusal)
+            return AnswerEvent.Failed(Refusal.OutcomeUnknown("The answer broke off: ${refusal.message}"))
+        }
+
+        private fun givenUp(failure: EngineFailure): AnswerEvent.Failed {
+            events.record(
+                EntryEvent.ANSWER_GIVEN_UP,
+                "request" with job.dispatch.id,
+                "attempts" with attempt,
+                "failure" with failure.message,
+            )
+            return failed(ErrorAnswers.enginesFailed())
+        }
+    }
+
+    private companion object {
+        const val EVENT_BUFFER = 16
+        const val MAX_BATCH = 256
+        const val PROGRESS_STEP = 16
+
+        /** How long an engine may take to close a stream after its end mark. */
+        val LINGER = 250.milliseconds
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/entry/DispatchGate.kt
@@ -0,0 +1,127 @@
+/*
+ * The owner of a deployment's dispatcher. Dispatchers are plain state machines; the gate serialises the
+ * events to one, keeps its timer, and lets requests wait without a thread.
+ */
+package org.persimmonrelay.entry
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.persimmonrelay.catalog.BackendServer
+import org.persimmonrelay.clock.Clock
+import org.persimmonrelay.clock.Moment
+import org.persimmonrelay.engine.EngineAddress
+import org.persimmonrelay.engine.LoadReport
+import org.persimmonrelay.identity.RequestId
+import org.persimmonrelay.identity.ServerId
+import org.persimmonrelay.outcome.Refusal
+import org.persimmonrelay.routing.AttemptEnd
+import org.persimmonrelay.routing.DispatchAction
+import org.persimmonrelay.routing.DispatchEvent
+import org.persimmonrelay.routing.DispatchRequest
+import org.persimmonrelay.routing.Dispatcher
+import org.persimmonrelay.routing.Placement
+
+private typealias Placing = Either<Refusal.NotRun, Placement>
+
+/** Serialises one [dispatcher]. Thread-safe; its timer runs in [scope]. */
+public class DispatchGate(
+    private val dispatcher: Dispatcher,
+    private val clock: Clock,
+    private val scope: CoroutineScope,
+) {
+    private val lock = Any()
+    private val waiting = HashMap<RequestId, CompletableDeferred<Placing>>()
+    private var timer: Job? = null
+    private var wakeAt: Moment? = null
+    private var running = 0
+
+    /** Retries that this deployment allows. */
+    public val retries: RetryBudget = RetryBudget()
+
+    @Volatile
+    private var addresses: Map<ServerId, EngineAddress> = emptyMap()
+
+    /** Requests that wait for a place. */
+    public val waitingRequests: Int get() = synchronized(lock) { waiting.size }
+
+    /** True when no request waits or runs. */
+    public val isIdle: Boolean get() = synchronized(lock) { waiting.isEmpty() && running == 0 }
+
+    /** Waits until the dispatcher places or refuses [request]. Cancelling withdraws it. */
+    public suspend fun place(request: DispatchRequest, outputSoFar: Int): Either<Refusal.NotRun, Placement> {
+        val answer = CompletableDeferred<Placing>()
+        synchronized(lock) { waiting[request.id] = answer }
+        on(DispatchEvent.Arrived(request, outputSoFar))
+        return try {
+            answer.await()
+        } catch (e: CancellationException) {
+            withdraw(request.id, answer)
+            throw e
+        }
+    }
+
+    /** The address of [server], also when it was just removed from the deployment. */
+    public fun address(server: ServerId): EngineAddress? = addresses[server]
+
+    public fun progressed(id: RequestId, outputTokens: Int, cachedTokens: Int): Unit =
+        on(DispatchEvent.Progressed(id, outputTokens, cachedTokens))
+
+    /** To be called once for each placement given out. */
+    public fun ended(id: RequestId, server: ServerId, end: AttemptEnd): Unit = synchronized(lock) {
+        running--
+        on(DispatchEvent.Ended(id, server, end))
+    }
+
+    public fun reported(report: LoadReport) {
+        if (report.server in addresses) on(DispatchEvent.Reported(report))
+    }
+
+    public fun serversChanged(servers: List<BackendServer>) {
+        addresses = addresses + servers.associate { ServerId(it.name) to EngineAddress(it.address) }
+        on(DispatchEvent.ServersChanged(servers))
+    }
+
+    private fun withdraw(id: RequestId, answer: CompletableDeferred<Placing>) {
+        val waited = synchronized(lock) { waiting.remove(id, answer) }
+        if (waited) return on(DispatchEvent.Withdrawn(id))
+        answer.getCompleted().onRight { ended(id, it.decode, AttemptEnd.CANCELLED) }
+    }
+
+    private fun on(event: DispatchEvent): Unit = synchronized(lock) {
+        dispatcher.on(event, clock.now()).forEach(::carryOut)
+    }
+
+    private fun carryOut(action: DispatchAction) {
+        when (action) {
+            is DispatchAction.Start -> start(action)
+            is DispatchAction.Refuse -> waiting.remove(action.id)?.complete(action.refusal.left())
+            is DispatchAction.WakeAt -> schedule(action.moment)
+        }
+    }
+
+    private fun start(action: DispatchAction.Start) {
+        val answer = waiting.remove(action.id) ?: return
+        running++
+        answer.complete(action.placement.right())
+    }
+
+    private fun schedule(moment: Moment) {
+        val current = wakeAt
+        if (current != null && current <= moment) return
+        timer?.cancel()
+        wakeAt = moment
+        timer =
+            scope.launch {
+                delay(moment - clock.now())
+                synchronized(lock) { wakeAt = null }
+                on(DispatchEvent.Woken)
+            }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/entry/EntryParts.kt
@@ -0,0 +1,42 @@
+package org.persimmonrelay.entry
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import org.persimmonrelay.catalog.CatalogSource
+import org.persimmonrelay.catalog.Deployment
+import org.persimmonrelay.catalog.KeyVerifier
+import org.persimmonrelay.catalog.WithdrawalWatch
+import org.persimmonrelay.clock.Clock
+import org.persimmonrelay.engine.EngineClient
+import org.persimmonrelay.identity.Incarnation
+import org.persimmonrelay.identity.ServerId
+import org.persimmonrelay.once.OnceManager
+import org.persimmonrelay.routing.Dispatcher
+import org.persimmonrelay.timeline.EventSink
+import org.persimmonrelay.usage.UsageMeter
+
+/** The configuration in force and what it says of callers' keys. */
+public class CallerAccess(
+    public val catalog: CatalogSource,
+    public val keys: KeyVerifier,
+    public val withdrawals: WithdrawalWatch,
+)
+
+/**
+ * What the entry works with.
+ *
+ * [leaving] names backend servers that get no new work although the catalog still lists them.
+ */
+public class EntryParts(
+    public val incarnation: Incarnation,
+    public val clock: Clock,
+    public val access: CallerAccess,
+    public val engine: EngineClient,
+    public val once: OnceManager,
+    public val usage: UsageMeter,
+    public val events: EventSink,
+    public val registry: PrometheusMeterRegistry,
+    public val leaving: StateFlow<Set<ServerId>> = MutableStateFlow(emptySet()),
+    public val dispatcherFactory: (Deployment) -> Dispatcher,
+)
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/entry/EntrySettings.kt
@@ -0,0 +1,33 @@
+package org.persimmonrelay.entry
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Where the entry listens and what it allows.
+ *
+ * [bodyTimeout] bounds the arrival of a request's body, [writeTimeout] a caller that doesn't read.
+ * A running answer under a withdrawn key may go on for [withdrawnFinish]; keys of requests that wait or run are
+ * checked every [keyCheck]. [maxAttempts] counts the sends of one request to engines.
+ * [drain] is for what still runs when the node leaves.
+ */
+public data class EntrySettings(
+    val host: String = "127.0.0.1",
+    val port: Int = 0,
+    val bodyBytes: Long = DEFAULT_BODY_BYTES,
+    val headerBytes: Int = DEFAULT_HEADER_BYTES,
+    val openStreams: Int = 20_000,
+    val bodyTimeout: Duration = 10.seconds,
+    val writeTimeout: Duration = 30.seconds,
+    val withdrawnFinish: Duration = 30.seconds,
+    val keyCheck: Duration = 200.milliseconds,
+    val loadPoll: Duration = 200.milliseconds,
+    val maxAttempts: Int = 4,
+    val labelledWorkspaces: Int = 50,
+) {
+    private companion object {
+        const val DEFAULT_BODY_BYTES = 8L * 1024 * 1024
+        const val DEFAULT_HEADER_BYTES = 32 * 1024
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/entry/RunningKeys.kt
@@ -0,0 +1,57 @@
+package org.persimmonrelay.entry
+
+import kotlinx.coroutines.delay
+import org.persimmonrelay.catalog.KeyState
+import org.persimmonrelay.catalog.WithdrawalWatch
+import org.persimmonrelay.clock.Clock
+import org.persimmonrelay.clock.Moment
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
+
+/**
+ * The requests that wait or run, by key. One sweep for all of them asks after each key once, so that the
+ * cost grows with the keys in use and not with the open streams. Thread-safe.
+ */
+public class RunningKeys(
+    private val withdrawals: WithdrawalWatch,
+    private val clock: Clock,
+    private val period: Duration,
+    private val finishBound: Duration,
+) {
+    private val work = ConcurrentHashMap<String, MutableSet<KeyedWork>>()
+    private val withdrawnSince = HashMap<String, Moment>()
+
+    public fun add(keyName: String, item: KeyedWork) {
+        work.compute(keyName) { _, items -> (items ?: ConcurrentHashMap.newKeySet()).apply { add(item) } }
+    }
+
+    public fun remove(keyName: String, item: KeyedWork) {
+        work.computeIfPresent(keyName) { _, items -> items.apply { remove(item) }.ifEmpty { null } }
+    }
+
+    /** Sweeps until cancelled. */
+    public suspend fun run() {
+        while (true) {
+            delay(period)
+            sweep(clock.now())
+        }
+    }
+
+    /** Tells the requests whose key is no longer valid. */
+    public fun sweep(now: Moment) {
+        withdrawnSince.keys.retainAll(work.keys)
+        work.forEach { (key, items) ->
+            when (withdrawals.stateOf(key)) {
+                KeyState.VALID -> withdrawnSince.remove(key)
+                KeyState.CUT -> items.forEach(KeyedWork::onCut)
+                KeyState.WITHDRAWN -> withdrawn(key, items, now)
+            }
+        }
+    }
+
+    private fun withdrawn(key: String, items: Set<KeyedWork>, now: Moment) {
+        val since = withdrawnSince.getOrPut(key) { now }
+        items.forEach(KeyedWork::onWithdrawn)
+        if (now - since >= finishBound) items.forEach(KeyedWork::onCut)
+    }
+}
--- a/src/main/kotlin/org/persimmonrelay/outcome/NotRunReason.kt
+++ b/src/main/kotlin/org/persimmonrelay/outcome/NotRunReason.kt
@@ -9,6 +9,7 @@
     UNKNOWN_MODEL(404, "model_not_found"),
     UNKNOWN_ROUTE(404, "route_not_found"),
     PROMPT_TOO_LONG(400, "context_length_exceeded"),
+    REQUEST_TIMEOUT(408, "request_timeout"),
     BODY_TOO_LARGE(413, "body_too_large"),
     WORKSPACE_LIMIT(429, "rate_limit_exceeded"),
     OVERLOADED(503, "overloaded"),
