--- a/src/main/kotlin/org/persimmonrelay/engine/SilenceWatch.kt
+++ b/src/main/kotlin/org/persimmonrelay/engine/SilenceWatch.kt
@@ -24,7 +24,8 @@
         while (true) {
             val left = left(clock.now())
             if (left <= Duration.ZERO) return
-            delay(left)
+            // The bound shrinks with the first piece, so the longer one must not be slept through.
+            delay(minOf(left, timeouts.progress))
         }
     }
 
--- a/src/main/kotlin/org/persimmonrelay/entry/AnswerRelay.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/AnswerRelay.kt
@@ -7,6 +7,7 @@
 import arrow.core.Either
 import arrow.core.getOrElse
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.channels.SendChannel
 import kotlinx.coroutines.channels.consumeEach
@@ -34,6 +35,7 @@
     private val events: EventSink,
 ) {
     /** Begins [job] in [scope]; the channel closes after the last event. Cancelling it cancels the engine's stream. */
+    @OptIn(ExperimentalCoroutinesApi::class)
     public fun open(scope: CoroutineScope, job: AnswerJob): ReceiveChannel<AnswerEvent> =
         scope.produce(capacity = EVENT_BUFFER) {
             val running = launch { Run(job, channel).start() }
@@ -85,7 +87,7 @@
         }
 
         private fun note(server: ServerId, failure: EngineFailure) {
-            if (failure !is EngineFailure.NotSent) mayHaveRun = true
+            if (failure is EngineFailure.NotSent) job.gate.unreachable(server) else mayHaveRun = true
             events.record(
                 EntryEvent.ATTEMPT_FAILED,
                 "request" with job.dispatch.id,
--- a/src/main/kotlin/org/persimmonrelay/entry/DispatchGate.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/DispatchGate.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -27,6 +28,7 @@
 import org.persimmonrelay.routing.DispatchRequest
 import org.persimmonrelay.routing.Dispatcher
 import org.persimmonrelay.routing.Placement
+import kotlin.time.Duration.Companion.seconds
 
 private typealias Placing = Either<Refusal.NotRun, Placement>
 
@@ -41,6 +43,8 @@
     private var timer: Job? = null
     private var wakeAt: Moment? = null
     private var running = 0
+    private var listed: List<BackendServer> = emptyList()
+    private val heldUntil = HashMap<ServerId, Moment>()
 
     /** Retries that this deployment allows. */
     public val retries: RetryBudget = RetryBudget()
@@ -83,11 +87,30 @@
         if (report.server in addresses) on(DispatchEvent.Reported(report))
     }
 
-    public fun serversChanged(servers: List<BackendServer>) {
+    public fun serversChanged(servers: List<BackendServer>): Unit = synchronized(lock) {
         addresses = addresses + servers.associate { ServerId(it.name) to EngineAddress(it.address) }
-        on(DispatchEvent.ServersChanged(servers))
+        listed = servers
+        publishServers()
     }
 
+    /** No connection to [server] could be made: it gets no new work for a while, unless no other stands. */
+    public fun unreachable(server: ServerId): Unit = synchronized(lock) {
+        heldUntil[server] = clock.now() + UNREACHABLE_HOLD
+        publishServers()
+        scope.launch {
+            delay(UNREACHABLE_HOLD)
+            synchronized(lock) { publishServers() }
+        }
+    }
+
+    private fun publishServers() {
+        val now = clock.now()
+        heldUntil.values.removeIf { it <= now }
+        val held = listed.map { if (ServerId(it.name) in heldUntil) it.copy(drain = true) else it }
+        on(DispatchEvent.ServersChanged(if (held.all { it.drain }) listed else held))
+    }
+
+    @OptIn(ExperimentalCoroutinesApi::class)
     private fun withdraw(id: RequestId, answer: CompletableDeferred<Placing>) {
         val waited = synchronized(lock) { waiting.remove(id, answer) }
         if (waited) return on(DispatchEvent.Withdrawn(id))
@@ -124,4 +147,8 @@
                 on(DispatchEvent.Woken)
             }
     }
+
+    private companion object {
+        val UNREACHABLE_HOLD = 2.seconds
+    }
 }
--- a/src/main/kotlin/org/persimmonrelay/entry/EntryServer.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/EntryServer.kt
@@ -15,6 +15,7 @@
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
+import io.ktor.server.routing.route
 import io.ktor.server.routing.routing
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -26,6 +27,7 @@
 import org.persimmonrelay.outcome.Refusal
 import org.persimmonrelay.timeline.with
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Serves callers over HTTP. */
@@ -38,10 +40,14 @@
     private val keyGate = KeyGate(parts.access.keys, parts.clock)
     private val running =
         RunningKeys(parts.access.withdrawals, parts.clock, settings.keyCheck, settings.withdrawnFinish)
+    private val bodies = BodyReader(settings.bodyBytes, settings.bodyTimeout)
+    private val serviceClient = ServiceClient(settings.answerBytes, settings.connectTimeout)
+    private val services =
+        ServiceHandler(keyGate, bodies, servers, serviceClient, parts.once, running, parts.events)
     private val completions =
         CompletionHandler(
             keyGate,
-            BodyReader(settings.bodyBytes, settings.bodyTimeout),
+            bodies,
             servers,
             gates,
             AnswerRelay(parts.engine, settings.maxAttempts, parts.events),
@@ -56,6 +62,9 @@
     /** Requests in hand. */
     public val openRequests: Int get() = requests.count
 
+    /** True once [stop] was called. */
+    public val isLeaving: Boolean get() = requests.isLeaving
+
     /** Starts to listen; returns the bound port. */
     public suspend fun start(): Int {
         scope.launch { running.run() }
@@ -75,8 +84,9 @@
         parts.events.record(EntryEvent.LEAVING, "open" with requests.count)
         requests.leave()
         val cut = requests.awaitNone(grace)
-        server.stopSuspend(LAST_ANSWERS.inWholeMilliseconds, (LAST_ANSWERS * 2).inWholeMilliseconds)
+        server.stopSuspend(LAST_ANSWERS.inWholeMilliseconds, STOP_BOUND.inWholeMilliseconds)
         scope.cancel()
+        serviceClient.close()
         parts.events.record(EntryEvent.STOPPED, "cut" with cut)
     }
 
@@ -96,6 +106,9 @@
             post("/v1/chat/completions") { admitted(call) { completions.handle(call, AnswerForm.CHAT) } }
             post("/v1/completions") { admitted(call) { completions.handle(call, AnswerForm.TEXT) } }
             get("/v1/models") { admitted(call) { models(call) } }
+            route("/s/{service}/{path...}") {
+                handle { admitted(call) { services.handle(call, call.parameters["service"].orEmpty()) } }
+            }
         }
     }
 
@@ -129,7 +142,8 @@
 
     private companion object {
         /** For answers that were just written when the last request ended. */
-        val LAST_ANSWERS = 1.seconds
+        val LAST_ANSWERS = 100.milliseconds
+        val STOP_BOUND = 2.seconds
         val FULL =
             Refusal.NotRun(
                 NotRunReason.OVERLOADED,
--- a/src/main/kotlin/org/persimmonrelay/entry/EntrySettings.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/EntrySettings.kt
@@ -7,10 +7,10 @@
 /**
  * Where the entry listens and what it allows.
  *
+ * [answerBytes] bounds the answer of a plain service and [connectTimeout] the making of a connection to one.
  * [bodyTimeout] bounds the arrival of a request's body, [writeTimeout] a caller that doesn't read.
  * A running answer under a withdrawn key may go on for [withdrawnFinish]; keys of requests that wait or run are
  * checked every [keyCheck]. [maxAttempts] counts the sends of one request to engines.
- * [drain] is for what still runs when the node leaves.
  */
 public data class EntrySettings(
     val host: String = "127.0.0.1",
@@ -18,6 +18,8 @@
     val bodyBytes: Long = DEFAULT_BODY_BYTES,
     val headerBytes: Int = DEFAULT_HEADER_BYTES,
     val openStreams: Int = 20_000,
+    val answerBytes: Long = DEFAULT_ANSWER_BYTES,
+    val connectTimeout: Duration = 2.seconds,
     val bodyTimeout: Duration = 10.seconds,
     val writeTimeout: Duration = 30.seconds,
     val withdrawnFinish: Duration = 30.seconds,
@@ -28,6 +30,7 @@
 ) {
     private companion object {
         const val DEFAULT_BODY_BYTES = 8L * 1024 * 1024
+        const val DEFAULT_ANSWER_BYTES = 32L * 1024 * 1024
         const val DEFAULT_HEADER_BYTES = 32 * 1024
     }
 }
--- a/src/main/kotlin/org/persimmonrelay/entry/KeyGate.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/KeyGate.kt
@@ -25,15 +25,16 @@
         }
     }
 
-    private fun presented(call: ApplicationCall): String? {
-        val header = call.request.headers[HttpHeaders.Authorization] ?: return null
-        if (!header.startsWith(SCHEME, ignoreCase = true)) return null
-        return header.substring(SCHEME.length).trim().ifEmpty { null }
-    }
-
     private fun refused(message: String) = Refusal.NotRun(NotRunReason.INVALID_KEY, message)
 
-    private companion object {
-        const val SCHEME = "Bearer "
+    companion object {
+        private const val SCHEME = "Bearer "
+
+        /** The key that came with [call]. */
+        fun presented(call: ApplicationCall): String? {
+            val header = call.request.headers[HttpHeaders.Authorization] ?: return null
+            if (!header.startsWith(SCHEME, ignoreCase = true)) return null
+            return header.substring(SCHEME.length).trim().ifEmpty { null }
+        }
     }
 }
--- a/src/main/kotlin/org/persimmonrelay/entry/OpenAiRequests.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/OpenAiRequests.kt
@@ -3,7 +3,6 @@
  */
 package org.persimmonrelay.entry
 
-import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.builtins.ListSerializer
@@ -65,7 +64,7 @@
 
 /** Reads a prompt given as one string as a list of one. */
 internal object PromptSerializer : JsonTransformingSerializer<List<String>>(
-    ListSerializer(String.serializer()) as KSerializer<List<String>>,
+    ListSerializer(String.serializer()),
 ) {
     override fun transformDeserialize(element: JsonElement): JsonElement =
         if (element is JsonPrimitive) JsonArray(listOf(element)) else element
--- a/src/main/kotlin/org/persimmonrelay/entry/RunningKeys.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/RunningKeys.kt
@@ -1,5 +1,8 @@
 package org.persimmonrelay.entry
 
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import org.persimmonrelay.catalog.KeyState
 import org.persimmonrelay.catalog.WithdrawalWatch
@@ -29,6 +32,22 @@
         work.computeIfPresent(keyName) { _, items -> items.apply { remove(item) }.ifEmpty { null } }
     }
 
+    /** Runs [block]; null when it was cut because [keyName] was withdrawn. Without a key nothing cuts it. */
+    internal suspend fun <T : Any> guard(keyName: String?, block: suspend () -> T): T? {
+        if (keyName == null) return block()
+        return coroutineScope {
+            val running = async { block() }
+            val item = CuttableWork(running)
+            add(keyName, item)
+            try {
+                running.join()
+            } finally {
+                remove(keyName, item)
+            }
+            if (running.isCancelled) null else running.await()
+        }
+    }
+
     /** Sweeps until cancelled. */
     public suspend fun run() {
         while (true) {
@@ -54,4 +73,10 @@
         items.forEach(KeyedWork::onWithdrawn)
         if (now - since >= finishBound) items.forEach(KeyedWork::onCut)
     }
+
+    private class CuttableWork(private val running: Job) : KeyedWork {
+        override fun onWithdrawn() = Unit
+
+        override fun onCut() = running.cancel()
+    }
 }
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/measure/BenchNode.kt
@@ -0,0 +1,58 @@
+package org.persimmonrelay.measure
+
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.persimmonrelay.clock.SystemClock
+import org.persimmonrelay.engine.EngineClient
+import org.persimmonrelay.entry.CallerAccess
+import org.persimmonrelay.entry.EntryParts
+import org.persimmonrelay.entry.EntryServer
+import org.persimmonrelay.entry.EntrySettings
+import org.persimmonrelay.identity.Incarnation
+import org.persimmonrelay.identity.WorkspaceId
+import org.persimmonrelay.once.CallEnd
+import org.persimmonrelay.once.OnceAnswer
+import org.persimmonrelay.once.OnceClaim
+import org.persimmonrelay.once.OnceManager
+import org.persimmonrelay.outcome.Refusal
+import org.persimmonrelay.routing.RoundRobinDispatcher
+import org.persimmonrelay.timeline.EventSink
+import org.persimmonrelay.usage.UsageMeter
+import kotlin.time.Duration
+
+/** The entry of a node before one engine, with the simplest of everything else. */
+internal class BenchNode(engineAddress: String, engine: EngineClient) {
+    private val catalog = BenchCatalog(engineAddress)
+    private val entry =
+        EntryServer(
+            EntrySettings(),
+            EntryParts(
+                incarnation = Incarnation("bench"),
+                clock = SystemClock,
+                access = CallerAccess(catalog, catalog, catalog),
+                engine = engine,
+                once = NoOnce,
+                usage = NoUsage,
+                events = EventSink.NONE,
+                registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
+                dispatcherFactory = { RoundRobinDispatcher() },
+            ),
+        )
+
+    /** Requests in hand. */
+    val openRequests: Int get() = entry.openRequests
+
+    /** Starts to listen; returns the port. */
+    suspend fun start(): Int = entry.start()
+
+    suspend fun stop() = entry.stop(Duration.ZERO)
+}
+
+private object NoOnce : OnceManager {
+    override suspend fun run(claim: OnceClaim, call: suspend () -> CallEnd): OnceAnswer =
+        OnceAnswer.Refused(Refusal.OutcomeUnknown("The bench has no plain services."))
+}
+
+private object NoUsage : UsageMeter {
+    override fun record(workspace: WorkspaceId, promptTokens: Long, outputTokens: Long) = Unit
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/measure/PathBench.kt
@@ -0,0 +1,161 @@
+/*
+ * What a node adds on the path of a request: the same client speaks straight to a stand-in engine and through a
+ * node, in one process and one run, taking turns. Then streams that only stay open, for their memory.
+ */
+package org.persimmonrelay.measure
+
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.Json
+import org.HdrHistogram.Histogram
+import org.persimmonrelay.clock.SystemClock
+import org.persimmonrelay.engine.EngineAddress
+import org.persimmonrelay.engine.EngineClient
+import org.persimmonrelay.engine.EngineRoutes
+import org.persimmonrelay.engine.EngineTimeouts
+import org.persimmonrelay.engine.GenerateRequest
+import org.persimmonrelay.engine.KtorEngineClient
+import org.persimmonrelay.identity.RequestId
+import org.persimmonrelay.standin.InProcessEngineClient
+import org.persimmonrelay.standin.StandInEngine
+import org.persimmonrelay.standin.StandInEngineServer
+import org.persimmonrelay.standin.StandInEngineSettings
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.DurationUnit
+
+/** Measures the path of a request through a node against the direct one. */
+public class PathBench(private val settings: PathBenchSettings = PathBenchSettings()) {
+    /** Runs everything; takes a minute or two. */
+    public fun run(): PathReport = runBlocking(Dispatchers.Default) {
+        val first = withPath { firstToken(it) }
+        val tokens = withPath { tokens(it) }
+        PathReport(first, tokens, idleInProcess(), idleHttp())
+    }
+
+    private suspend fun firstToken(path: Path): FirstTokenFigures {
+        val direct = Histogram(LONGEST_NANOS, DIGITS)
+        val node = Histogram(LONGEST_NANOS, DIGITS)
+        repeat(settings.warmUp + settings.samples) { turn ->
+            val straight = path.client.firstEvent(path.engineUrl, engineBody(FEW_TOKENS))
+            val through = path.client.firstEvent(path.nodeUrl, nodeBody(FEW_TOKENS))
+            if (turn >= settings.warmUp) direct.recordValue(straight.inWholeNanoseconds)
+            if (turn >= settings.warmUp) node.recordValue(through.inWholeNanoseconds)
+        }
+        return FirstTokenFigures(settings.samples, medianMillis(direct), medianMillis(node))
+    }
+
+    private suspend fun tokens(path: Path): TokenFigures {
+        val direct = mutableListOf<Double>()
+        val node = mutableListOf<Double>()
+        repeat(settings.rounds + 1) { round ->
+            val straight = rate(path.client, path.engineUrl, engineBody(settings.tokensPerStream))
+            val through = rate(path.client, path.nodeUrl, nodeBody(settings.tokensPerStream))
+            if (round > 0) direct += straight
+            if (round > 0) node += through
+        }
+        return TokenFigures(settings.streams, settings.tokensPerStream, median(direct), median(node))
+    }
+
+    private suspend fun rate(client: PathClient, url: String, body: String): Double = coroutineScope {
+        val start = SystemClock.now()
+        val events = List(settings.streams) { async { client.countEvents(url, body) } }.awaitAll()
+        check(events.all { it >= settings.tokensPerStream }) { "A stream was short: ${events.min()} events." }
+        val seconds = (SystemClock.now() - start).toDouble(DurationUnit.SECONDS)
+        settings.streams * settings.tokensPerStream / seconds
+    }
+
+    private suspend fun idleInProcess(): List<IdleFigures> {
+        val engine = idleEngine()
+        val address = EngineAddress("in-process")
+        return idle(address.value, InProcessEngineClient(mapOf(address to engine)), DESCRIPTORS_IN_PROCESS)
+    }
+
+    private suspend fun idleHttp(): List<IdleFigures> {
+        val server = StandInEngineServer(idleEngine())
+        val client = KtorEngineClient(SystemClock, EngineTimeouts(progress = 1.hours))
+        return server.use { client.use { idle(server.start(), client, DESCRIPTORS_HTTP) } }
+    }
+
+    private suspend fun idle(address: String, client: EngineClient, descriptors: Int): List<IdleFigures> {
+        val node = BenchNode(address, client)
+        val port = node.start()
+        val most = MemoryGauge.freeDescriptors()?.div(descriptors) ?: Int.MAX_VALUE
+        val levels = settings.idleLevels.map { minOf(it, most) }.distinct()
+        val figures = mutableListOf<IdleFigures>()
+        IdleStreams(port).use { streams ->
+            for (level in levels) {
+                streams.growTo(level)
+                check(node.openRequests == level) { "Only ${node.openRequests} of $level streams are open." }
+                figures += idleAt(level, figures.firstOrNull())
+            }
+        }
+        node.stop()
+        return figures
+    }
+
+    private suspend fun idleAt(level: Int, first: IdleFigures?): IdleFigures {
+        val heap = MemoryGauge.heapBytes()
+        delay(settings.hold)
+        val held = MemoryGauge.heapBytes()
+        val slope = first?.let { (heap - it.heapBytes).toDouble() / (level - it.streams) } ?: 0.0
+        val hold = settings.hold.inWholeSeconds.toInt()
+        return IdleFigures(level, heap, held, hold, MemoryGauge.directBytes(), slope)
+    }
+
+    private suspend fun <T> withPath(measure: suspend (Path) -> T): T {
+        val engine = StandInEngine(engineSettings(0.0), SystemClock)
+        val server = StandInEngineServer(engine)
+        val engineClient = KtorEngineClient(SystemClock)
+        val client = PathClient(SystemClock)
+        val address = server.start()
+        val node = BenchNode(address, engineClient)
+        try {
+            val nodeUrl = "http://127.0.0.1:${node.start()}/v1/chat/completions"
+            return measure(Path(client, "http://$address${EngineRoutes.GENERATE}", nodeUrl))
+        } finally {
+            node.stop()
+            client.close()
+            engineClient.close()
+            server.close()
+        }
+    }
+
+    private fun idleEngine() = StandInEngine(engineSettings(IDLE_TOKENS_PER_SECOND), SystemClock)
+
+    private fun engineSettings(rate: Double) = StandInEngineSettings(
+        server = "engine",
+        models = listOf(BenchCatalog.MODEL),
+        outputTokensPerSecond = rate,
+        reportLag = Duration.ZERO,
+        answerTokens = { Int.MAX_VALUE },
+    )
+
+    private fun engineBody(tokens: Int) =
+        Json.encodeToString(GenerateRequest(RequestId("direct"), 1, BenchCatalog.MODEL, PROMPT, tokens))
+
+    private fun nodeBody(tokens: Int) = """{"model":"${BenchCatalog.MODEL}","stream":true,"max_tokens":$tokens,""" +
+        """"messages":[{"role":"user","content":"$PROMPT"}]}"""
+
+    private fun medianMillis(histogram: Histogram) = histogram.getValueAtPercentile(MEDIAN) / NANOS_PER_MILLI
+
+    private fun median(values: List<Double>) = values.sorted()[values.size / 2]
+
+    private class Path(val client: PathClient, val engineUrl: String, val nodeUrl: String)
+
+    private companion object {
+        const val PROMPT = "Draft a delivery sheet for the lake venue."
+        const val FEW_TOKENS = 4
+        const val IDLE_TOKENS_PER_SECOND = 0.001
+        const val DESCRIPTORS_IN_PROCESS = 2
+        const val DESCRIPTORS_HTTP = 4
+        const val LONGEST_NANOS = 60_000_000_000L
+        const val DIGITS = 3
+        const val MEDIAN = 50.0
+        const val NANOS_PER_MILLI = 1_000_000.0
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/standin/InProcessEngineClient.kt
@@ -0,0 +1,41 @@
+package org.persimmonrelay.standin
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.catch
+import kotlinx.coroutines.flow.flowOf
+import kotlinx.coroutines.flow.map
+import org.persimmonrelay.engine.EngineAddress
+import org.persimmonrelay.engine.EngineClient
+import org.persimmonrelay.engine.EngineFailure
+import org.persimmonrelay.engine.EngineOrder
+import org.persimmonrelay.engine.EngineOrderAnswer
+import org.persimmonrelay.engine.GenerateRequest
+import org.persimmonrelay.engine.LoadReport
+import org.persimmonrelay.engine.Piece
+
+/** Speaks to stand-in engines of the same process without sockets. */
+public class InProcessEngineClient(private val engines: Map<EngineAddress, StandInEngine>) : EngineClient {
+    override fun generate(address: EngineAddress, request: GenerateRequest): Flow<Either<EngineFailure, Piece>> {
+        val engine = engines[address] ?: return flowOf(unknown(address).left())
+        return engine.generate(request).fold(
+            ifLeft = { flowOf(EngineFailure.Refused(it).left()) },
+            ifRight = { pieces -> carried(pieces) },
+        )
+    }
+
+    override suspend fun load(address: EngineAddress): Either<EngineFailure, LoadReport> =
+        engines[address]?.load()?.right() ?: unknown(address).left()
+
+    override suspend fun order(address: EngineAddress, order: EngineOrder): Either<EngineFailure, EngineOrderAnswer> =
+        engines[address]?.order(order)?.right() ?: unknown(address).left()
+
+    private fun carried(pieces: Flow<Piece>): Flow<Either<EngineFailure, Piece>> {
+        val answers: Flow<Either<EngineFailure, Piece>> = pieces.map { it.right() }
+        return answers.catch { emit(EngineFailure.Broken(it.message.orEmpty()).left()) }
+    }
+
+    private fun unknown(address: EngineAddress) = EngineFailure.NotSent("There is no engine at ${address.value}.")
+}
--- a/src/main/kotlin/org/persimmonrelay/standin/StandInEngineServer.kt
+++ b/src/main/kotlin/org/persimmonrelay/standin/StandInEngineServer.kt
@@ -60,7 +60,7 @@
     }
 
     override fun close() {
-        server.stop(0, 0)
+        server.stop(QUIET_MILLIS, STOP_MILLIS)
     }
 
     private fun Application.module() {
@@ -91,6 +91,8 @@
     private suspend fun json(call: ApplicationCall, text: String) = call.respondText(text, ContentType.Application.Json)
 
     private companion object {
+        const val QUIET_MILLIS = 50L
+        const val STOP_MILLIS = 500L
         const val LOOPBACK = "127.0.0.1"
     }
 }
