--- a/src/main/kotlin/org/persimmonrelay/engine/KtorEngineClient.kt
+++ b/src/main/kotlin/org/persimmonrelay/engine/KtorEngineClient.kt
@@ -35,9 +35,11 @@
 import java.io.IOException
 
 /**
- * Speaks to engines over HTTP/1.1 with one pool of connections for all of them.
+ * Speaks to engines over HTTP/1.1, one connection to a stream.
  *
- * A stream that goes silent is abandoned together with its connection; the engine itself isn't judged.
+ * Works over Ktor's CIO engine, which closes the connection when a stream is cancelled. It doesn't tell an answer
+ * that was cut short; the end mark does. A stream that goes silent is abandoned together with its connection; the
+ * engine isn't judged.
  */
 public class KtorEngineClient(
     private val clock: Clock,
--- a/src/main/kotlin/org/persimmonrelay/entry/AnswerWriter.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/AnswerWriter.kt
@@ -68,7 +68,10 @@
         val out = StringBuilder(template.opening())
         var event = first
         while (true) {
-            val last = append(event, template, out)
+            var last = append(event, template, out)
+            while (!last && out.length < FLUSH_CHARS) {
+                last = append(events.tryReceive().getOrNull() ?: break, template, out)
+            }
             writeStringUtf8(out.toString())
             flush()
             if (last) return
@@ -119,6 +122,7 @@
 
     private companion object {
         const val MILLIS_PER_SECOND = 1_000L
+        const val FLUSH_CHARS = 16 * 1024
         const val REQUEST_HEADER = "X-Request-Id"
         val JSON = Json
     }
--- a/src/main/kotlin/org/persimmonrelay/entry/ServiceClient.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/ServiceClient.kt
@@ -26,8 +26,8 @@
 /**
  * Calls plain services: one attempt, no redirects, answers of at most [maxAnswerBytes].
  *
- * Works over the JDK's HTTP client, which tells an answer that was cut short from a whole one; Ktor's CIO engine,
- * which carries the engines' streams with their own end marks, does not.
+ * Works over the JDK's HTTP client, which tells an answer that was cut short from a whole one; Ktor's CIO engine
+ * does not.
  */
 internal class ServiceClient(private val maxAnswerBytes: Long, connectTimeout: Duration) : AutoCloseable {
     private val http =
--- a/src/main/kotlin/org/persimmonrelay/measure/MemoryGauge.kt
+++ b/src/main/kotlin/org/persimmonrelay/measure/MemoryGauge.kt
@@ -15,6 +15,10 @@
         return ManagementFactory.getMemoryMXBean().heapMemoryUsage.used
     }
 
+    /** Processor time of all threads since the start, in nanoseconds; 0 when the platform doesn't say. */
+    fun cpuNanos(): Long =
+        (ManagementFactory.getOperatingSystemMXBean() as? UnixOperatingSystemMXBean)?.processCpuTime ?: 0L
+
     /** Memory in use outside the heap by buffers, in bytes. */
     fun directBytes(): Long = ManagementFactory.getPlatformMXBeans(BufferPoolMXBean::class.java).filter {
         it.name == "direct"
--- a/src/main/kotlin/org/persimmonrelay/measure/PathBench.kt
+++ b/src/main/kotlin/org/persimmonrelay/measure/PathBench.kt
@@ -26,7 +26,6 @@
 import org.persimmonrelay.standin.StandInEngineSettings
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
-import kotlin.time.DurationUnit
 
 /** Measures the path of a request through a node against the direct one. */
 public class PathBench(private val settings: PathBenchSettings = PathBenchSettings()) {
@@ -38,35 +37,56 @@
     }
 
     private suspend fun firstToken(path: Path): FirstTokenFigures {
-        val direct = Histogram(LONGEST_NANOS, DIGITS)
-        val node = Histogram(LONGEST_NANOS, DIGITS)
-        repeat(settings.warmUp + settings.samples) { turn ->
-            val straight = path.client.firstEvent(path.engineUrl, engineBody(FEW_TOKENS))
-            val through = path.client.firstEvent(path.nodeUrl, nodeBody(FEW_TOKENS))
-            if (turn >= settings.warmUp) direct.recordValue(straight.inWholeNanoseconds)
-            if (turn >= settings.warmUp) node.recordValue(through.inWholeNanoseconds)
+        val direct = Side(path.engineUrl, engineBody(FEW_TOKENS))
+        val node = Side(path.nodeUrl, nodeBody(FEW_TOKENS))
+        warmUp(path.client, direct, node)
+        repeat(settings.samples + settings.samples / WARM_UP_PART) { turn ->
+            val counts = turn >= settings.samples / WARM_UP_PART
+            listOf(direct, node).forEach { it.measure(counts) { path.client.firstEvent(it.url, it.body) } }
         }
-        return FirstTokenFigures(settings.samples, medianMillis(direct), medianMillis(node))
+        return FirstTokenFigures(
+            settings.samples,
+            direct.medianMillis(),
+            node.medianMillis(),
+            direct.cpuMicros(settings.samples.toLong()),
+            node.cpuMicros(settings.samples.toLong()),
+        )
+    }
+
+    private suspend fun warmUp(client: PathClient, vararg sides: Side) = coroutineScope {
+        List(WARM_UP_CALLERS) {
+            async {
+                repeat(settings.warmUp / WARM_UP_CALLERS) {
+                    sides.forEach { client.firstEvent(it.url, it.body) }
+                }
+            }
+        }.awaitAll()
     }
 
     private suspend fun tokens(path: Path): TokenFigures {
-        val direct = mutableListOf<Double>()
-        val node = mutableListOf<Double>()
-        repeat(settings.rounds + 1) { round ->
-            val straight = rate(path.client, path.engineUrl, engineBody(settings.tokensPerStream))
-            val through = rate(path.client, path.nodeUrl, nodeBody(settings.tokensPerStream))
-            if (round > 0) direct += straight
-            if (round > 0) node += through
+        val direct = Side(path.engineUrl, engineBody(settings.tokensPerStream))
+        val node = Side(path.nodeUrl, nodeBody(settings.tokensPerStream))
+        repeat(settings.rounds + WARM_UP_ROUNDS) { round ->
+            val counts = round >= WARM_UP_ROUNDS
+            listOf(direct, node).forEach { it.measure(counts) { allStreams(path.client, it) } }
         }
-        return TokenFigures(settings.streams, settings.tokensPerStream, median(direct), median(node))
+        val perRound = settings.streams.toLong() * settings.tokensPerStream
+        return TokenFigures(
+            settings.streams,
+            settings.tokensPerStream,
+            perRound / direct.medianMillis() * MILLIS_PER_SECOND,
+            perRound / node.medianMillis() * MILLIS_PER_SECOND,
+            direct.cpuMicros(perRound * settings.rounds),
+            node.cpuMicros(perRound * settings.rounds),
+        )
     }
 
-    private suspend fun rate(client: PathClient, url: String, body: String): Double = coroutineScope {
+    /** Reads all streams at the same time; returns how long they took together. */
+    private suspend fun allStreams(client: PathClient, side: Side): Duration = coroutineScope {
         val start = SystemClock.now()
-        val events = List(settings.streams) { async { client.countEvents(url, body) } }.awaitAll()
+        val events = List(settings.streams) { async { client.countEvents(side.url, side.body) } }.awaitAll()
         check(events.all { it >= settings.tokensPerStream }) { "A stream was short: ${events.min()} events." }
-        val seconds = (SystemClock.now() - start).toDouble(DurationUnit.SECONDS)
-        settings.streams * settings.tokensPerStream / seconds
+        SystemClock.now() - start
     }
 
     private suspend fun idleInProcess(): List<IdleFigures> {
@@ -141,9 +161,23 @@
     private fun nodeBody(tokens: Int) = """{"model":"${BenchCatalog.MODEL}","stream":true,"max_tokens":$tokens,""" +
         """"messages":[{"role":"user","content":"$PROMPT"}]}"""
 
-    private fun medianMillis(histogram: Histogram) = histogram.getValueAtPercentile(MEDIAN) / NANOS_PER_MILLI
+    /** One of the two ways to the engine, and what it took. */
+    private class Side(val url: String, val body: String) {
+        private val times = Histogram(LONGEST_NANOS, DIGITS)
+        private var cpuNanos = 0L
+
+        suspend fun measure(counts: Boolean, run: suspend () -> Duration) {
+            val before = MemoryGauge.cpuNanos()
+            val time = run()
+            if (!counts) return
+            cpuNanos += MemoryGauge.cpuNanos() - before
+            times.recordValue(time.inWholeNanoseconds)
+        }
+
+        fun medianMillis() = times.getValueAtPercentile(MEDIAN) / NANOS_PER_MILLI
 
-    private fun median(values: List<Double>) = values.sorted()[values.size / 2]
+        fun cpuMicros(units: Long) = cpuNanos / NANOS_PER_MICRO / units
+    }
 
     private class Path(val client: PathClient, val engineUrl: String, val nodeUrl: String)
 
@@ -156,6 +190,11 @@
         const val LONGEST_NANOS = 60_000_000_000L
         const val DIGITS = 3
         const val MEDIAN = 50.0
+        const val MILLIS_PER_SECOND = 1_000.0
+        const val WARM_UP_ROUNDS = 3
+        const val WARM_UP_CALLERS = 16
+        const val WARM_UP_PART = 5
+        const val NANOS_PER_MICRO = 1_000.0
         const val NANOS_PER_MILLI = 1_000_000.0
     }
 }
--- a/src/main/kotlin/org/persimmonrelay/measure/PathReport.kt
+++ b/src/main/kotlin/org/persimmonrelay/measure/PathReport.kt
@@ -13,10 +13,19 @@
     val idleHttpEngine: List<IdleFigures>,
 )
 
-/** Median time from the start of a request to its first token, in milliseconds, one request at a time. */
+/**
+ * Median time from the start of a request to its first token, in milliseconds, one request at a time, and the
+ * processor time of the whole process per request in microseconds, which other load on the machine distorts less.
+ */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
-public data class FirstTokenFigures(val samples: Int, val directMillis: Double, val nodeMillis: Double) {
+public data class FirstTokenFigures(
+    val samples: Int,
+    val directMillis: Double,
+    val nodeMillis: Double,
+    val directCpuMicros: Double,
+    val nodeCpuMicros: Double,
+) {
     /** What the node adds. */
     @EncodeDefault
     val addedMillis: Double = nodeMillis - directMillis
@@ -30,6 +39,8 @@
     val tokensPerStream: Int,
     val directPerSecond: Double,
     val nodePerSecond: Double,
+    val directCpuMicrosPerToken: Double,
+    val nodeCpuMicrosPerToken: Double,
 ) {
     /** The node's rate as a share of the direct one. */
     @EncodeDefault
