Give calls that may not be repeated one run, and duties one holder

Cause: bookings and orders must survive killed nodes, lost answers and a store that goes away. Conclusion: the faces of once and usage can be wired.

--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/experiment/laws/LawExperiment.kt
@@ -0,0 +1,13 @@
+package org.persimmonrelay.experiment.laws
+
+/** Runs every law. */
+public object LawExperiment {
+    /** All laws that have an experiment. */
+    public val laws: List<Law> = listOf(LeaseLaw.LAW)
+
+    /** Runs [schedules] schedules in all, shared evenly between the laws, from [seed]. */
+    public fun run(schedules: Int, seed: Long): List<LawResult> {
+        val each = (schedules + laws.size - 1) / laws.size
+        return laws.map { it.run(each, seed) }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/lease/Duty.kt
@@ -0,0 +1,30 @@
+package org.persimmonrelay.lease
+
+import kotlinx.serialization.Serializable
+import org.persimmonrelay.identity.FailureDomain
+import org.persimmonrelay.identity.Incarnation
+import org.persimmonrelay.identity.NodeId
+
+/** Work that at most one node may do at a time, each under its own lease. */
+@Serializable
+@JvmInline
+public value class Duty(public val name: String) {
+    override fun toString(): String = name
+
+    public companion object {
+        /** Orders to the engines and to the platform in [domain]. */
+        public fun fleet(domain: FailureDomain): Duty = Duty("fleet-${domain.value}")
+
+        /** Closing and reporting the usage windows of [shard]. */
+        public fun usage(shard: Int): Duty = Duty("usage-$shard")
+
+        /** Removing expired rows. */
+        public val SWEEP: Duty = Duty("sweep")
+    }
+}
+
+/** One life of one node, as the holder of a lease. */
+@Serializable
+public data class HolderId(val node: NodeId, val incarnation: Incarnation) {
+    override fun toString(): String = "$node/$incarnation"
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/lease/Tenure.kt
@@ -0,0 +1,13 @@
+package org.persimmonrelay.lease
+
+/**
+ * This process's hold of [duty] under [epoch].
+ *
+ * While [unresolved] is not empty, orders of those earlier holders may still be under way, and nothing may be sent
+ * to a receiver that does not check the epoch.
+ */
+public data class Tenure(val duty: Duty, val epoch: Long, val unresolved: List<HolderId>) {
+    /** True when no order of an earlier holder can still arrive. */
+    public val isSole: Boolean
+        get() = unresolved.isEmpty()
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/once/ClaimResult.kt
@@ -0,0 +1,18 @@
+package org.persimmonrelay.once
+
+import kotlin.time.Duration
+
+/** How an attempt to claim a key ended. */
+internal sealed interface ClaimResult {
+    /** The claim is this node's, in a row at [version]. */
+    data class Won(val version: Long) : ClaimResult
+
+    /** Someone claimed the key before. */
+    data class Taken(val row: ClaimRow, val version: Long) : ClaimResult
+
+    /** The claim was certainly not stored. */
+    data class NotStored(val message: String, val retryAfter: Duration) : ClaimResult
+
+    /** The claim may be stored; it has to be released in the background. */
+    data class Unknown(val message: String) : ClaimResult
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/once/OnceSettings.kt
@@ -0,0 +1,20 @@
+package org.persimmonrelay.once
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Bounds of [OnceManager]. A key can be used for another call once [retention] has passed since its claim. */
+public data class OnceSettings(
+    val retention: Duration = 24.hours,
+    val gatherWindow: Duration = 2.milliseconds,
+    val maxBatch: Int = 64,
+    val maxWaitingClaims: Int = 4_096,
+    val maxAnswerBytes: Int = 256 * 1024,
+    val retryOutcomeAfter: Duration = 1.seconds,
+    val releaseTimeout: Duration = 1.seconds,
+    val repeatAfter: Duration = 1.seconds,
+    val sweepPage: Int = 200,
+    val sweepPause: Duration = 2.seconds,
+)
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/usage/UsageRecorder.kt
@@ -0,0 +1,107 @@
+package org.persimmonrelay.usage
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import org.persimmonrelay.clock.Clock
+import org.persimmonrelay.identity.Incarnation
+import org.persimmonrelay.identity.OperationId
+import org.persimmonrelay.identity.WorkspaceId
+import org.persimmonrelay.platform.CommitOutcome
+import org.persimmonrelay.platform.Condition
+import org.persimmonrelay.platform.ReliableTable
+import org.persimmonrelay.platform.Transaction
+import org.persimmonrelay.platform.Write
+import org.persimmonrelay.timeline.EventSink
+import org.persimmonrelay.timeline.with
+
+/**
+ * Counts usage on one node and stores it as segments.
+ *
+ * A segment that can't be stored is kept and sent again, unchanged, before the next. What a killed node had
+ * counted since its last flush is lost to billing, at most [UsageSettings.flushEvery] of it.
+ */
+public class UsageRecorder(
+    private val table: ReliableTable,
+    private val clock: Clock,
+    private val incarnation: Incarnation,
+    private val events: EventSink = EventSink.NONE,
+    private val settings: UsageSettings = UsageSettings(),
+) : UsageMeter {
+    private val accumulator = UsageAccumulator()
+    private val keys = UsageKeys(UsageKeys.shardOf(incarnation, settings.shards))
+    private val waiting = ArrayDeque<Segment>()
+    private val flushing = Mutex()
+    private var windowStart = windowOf(clock.wallMillis())
+    private var sequence = 0L
+    private var writerVersion = 0L
+
+    override fun record(workspace: WorkspaceId, promptTokens: Long, outputTokens: Long) {
+        accumulator.record(workspace, promptTokens, outputTokens)
+    }
+
+    /** Flushes every now and then until [scope] ends. */
+    public fun start(scope: CoroutineScope) {
+        scope.launch {
+            while (true) {
+                delay(settings.flushEvery)
+                if (!flush()) events.record(UsageEvent.SEGMENT_LATE, "segments" with waiting.size)
+            }
+        }
+    }
+
+    /** Stores everything counted so far; false when the store did not take all of it. A leaving node calls it last. */
+    public suspend fun flush(): Boolean = flushing.withLock {
+        cutSegment()
+        while (waiting.isNotEmpty()) {
+            if (!store(waiting.first())) return@withLock false
+            waiting.removeFirst()
+        }
+        true
+    }
+
+    /** What was counted since the last cut belongs to the window in which it began, up to one flush period off. */
+    private fun cutSegment() {
+        val usage = accumulator.drain()
+        val start = windowStart
+        windowStart = windowOf(clock.wallMillis())
+        if (usage.isEmpty() || mergeIntoLast(start, usage)) return
+        sequence++
+        waiting += Segment(incarnation, sequence, start, usage)
+    }
+
+    /** Keeps memory flat during an outage. The first waiting segment may have been sent and must not change. */
+    private fun mergeIntoLast(start: Long, usage: List<WorkspaceUsage>): Boolean {
+        if (waiting.size < 2 || waiting.last().windowStart != start) return false
+        val last = waiting.removeLast()
+        val merged = (last.usage + usage).groupBy { it.workspace }.values.map { it.reduce(::sum) }
+        waiting += last.copy(usage = merged)
+        return true
+    }
+
+    private suspend fun store(segment: Segment): Boolean {
+        val writer = keys.writer(incarnation)
+        val condition =
+            if (writerVersion == 0L) Condition.Absent(writer) else Condition.VersionIs(writer, writerVersion)
+        val transaction = Transaction(
+            operation = OperationId("usage-${incarnation.value}-${segment.sequence}"),
+            conditions = listOf(condition),
+            writes = listOf(
+                Write.Put(writer, segment.sequence.toString()),
+                Write.Put(keys.segment(segment), segment.encode()),
+            ),
+        )
+        val stored = when (val outcome = table.commit(transaction)) {
+            is CommitOutcome.Committed -> true
+            is CommitOutcome.Conflict -> outcome.current.any { it.operation == transaction.operation }
+            is CommitOutcome.NotSent, is CommitOutcome.Unknown -> false
+        }
+        if (stored) writerVersion++
+        return stored
+    }
+
+    private fun windowOf(wallMillis: Long): Long =
+        wallMillis - Math.floorMod(wallMillis, settings.window.inWholeMilliseconds)
+}
