--- a/src/main/kotlin/org/persimmonrelay/experiment/laws/LeaseLaw.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/laws/LeaseLaw.kt
@@ -9,11 +9,11 @@
 import org.persimmonrelay.lease.PredecessorEvidence
 import kotlin.time.Duration.Companion.seconds
 
-/** At no moment do two processes hold the same duty. */
+/** At no moment do two processes hold the same duty; and once the faults are over, one does. */
 internal object LeaseLaw {
     private const val PROCESSES = 3
     private val DUTY = Duty("duty")
-    private val SETTLE = 30.seconds
+    private val SETTLE = 60.seconds
 
     private val KINDS = FaultKind.entries - FaultKind.RECEIVER_CRASH - FaultKind.PAUSE_AT_SEND
 
@@ -27,7 +27,7 @@
         world.run(SETTLE, check) { place, process ->
             leases[place] = leaseManager(world, place, process).also { it.compete(process.scope, DUTY) }
         }
-        return alone
+        return alone && leases.any { it?.tenure(DUTY) != null }
     }
 
     private fun naive(seed: Long): Boolean {
--- a/src/main/kotlin/org/persimmonrelay/experiment/laws/VirtualNetwork.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/laws/VirtualNetwork.kt
@@ -37,9 +37,9 @@
 
     /**
      * Carries a request of [from] to [target], where [effect] happens, and its answer back. Gives null when
-     * no answer comes within [timeout].
+     * no answer comes within [timeout]; an effect without a value gives no answer.
      */
-    suspend fun <T : Any> call(from: VirtualProcess, target: Target, timeout: Duration, effect: () -> T): T? {
+    suspend fun <T : Any> call(from: VirtualProcess, target: Target, timeout: Duration, effect: () -> T?): T? {
         if (target == Target.RECEIVER) beforeSend(from)
         if (target != Target.STORE) delay(1.milliseconds)
         return suspendCancellableCoroutine { continuation ->
@@ -56,13 +56,13 @@
         from: VirtualProcess,
         target: Target,
         timeout: Duration,
-        effect: () -> T,
+        effect: () -> T?,
         answer: (T?) -> Unit,
     ) {
         if (isLost(from, target)) return
         time.after(latency(timeout)) {
             if (target == Target.STORE && storeDown) return@after
-            val value = effect()
+            val value = effect() ?: return@after
             val lost = isLost(from, target) || target == Target.STORE && takeLostStoreAnswer()
             if (!lost) time.after(latency(timeout)) { answer(value) }
         }
--- a/src/main/kotlin/org/persimmonrelay/experiment/laws/VirtualWorld.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/laws/VirtualWorld.kt
@@ -29,6 +29,10 @@
     /** Called when a receiver of orders crashes; [Fault.detail] picks one. */
     var crashReceiver: (Int) -> Unit = {}
 
+    /** True when the plan kills a process, so that what it kept in memory is lost. */
+    val hadKills: Boolean
+        get() = plan.faults.any { it.kind == FaultKind.KILL }
+
     private val plan = FaultPlan(Random(seed), processes, kinds, within)
     private val rates = Random(seed + 1)
     private var operations = 0
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/usage/WindowCloser.kt
@@ -0,0 +1,124 @@
+package org.persimmonrelay.usage
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.persimmonrelay.clock.Clock
+import org.persimmonrelay.identity.OperationId
+import org.persimmonrelay.lease.Duty
+import org.persimmonrelay.lease.LeaseKeys
+import org.persimmonrelay.lease.LeaseManager
+import org.persimmonrelay.lease.Tenure
+import org.persimmonrelay.platform.CommitOutcome
+import org.persimmonrelay.platform.Condition
+import org.persimmonrelay.platform.ReliableTable
+import org.persimmonrelay.platform.Row
+import org.persimmonrelay.platform.Transaction
+import org.persimmonrelay.platform.UsageReports
+import org.persimmonrelay.platform.Write
+import org.persimmonrelay.timeline.EventSink
+import org.persimmonrelay.timeline.with
+
+/**
+ * Closes and reports the usage windows of one shard while this node holds the shard's duty.
+ *
+ * A window's figures are fixed in one transaction that checks the lease, consumes the segments and stores the
+ * bytes to be sent; only stored bytes are sent, and only once no earlier holder can still be sending.
+ */
+public class WindowCloser(
+    private val table: ReliableTable,
+    private val reports: UsageReports,
+    private val leases: LeaseManager,
+    private val clock: Clock,
+    private val shard: Int,
+    private val newOperation: () -> OperationId,
+    private val events: EventSink = EventSink.NONE,
+    private val settings: UsageSettings = UsageSettings(),
+) {
+    private val duty = Duty.usage(shard)
+    private val keys = UsageKeys(shard)
+
+    /** Competes for the duty and works whenever this node holds it, until [scope] ends. */
+    public fun start(scope: CoroutineScope) {
+        leases.compete(scope, duty)
+        scope.launch {
+            while (true) {
+                leases.tenure(duty)?.let { pass(it) }
+                delay(settings.closeEvery)
+            }
+        }
+    }
+
+    /** Closes what is due, and reports what is closed. */
+    internal suspend fun pass(tenure: Tenure) {
+        closeDue(tenure)
+        if (tenure.isSole) return reportPending(tenure)
+        events.record(UsageEvent.REPORTS_HELD_BACK, "shard" with shard, "for" with tenure.unresolved)
+    }
+
+    private suspend fun closeDue(tenure: Tenure) {
+        val rows = table.scan(keys.segments).getOrNull() ?: return
+        val segments = rows.map(StoredSegment::of)
+        val dueBefore = clock.wallMillis() - settings.grace.inWholeMilliseconds
+        val closed = closedWindows(segments, dueBefore) ?: return
+        planWindows(segments, { it in closed }, dueBefore, settings.window.inWholeMilliseconds)
+            .forEach { close(tenure, it.copy(segments = it.segments.take(settings.maxSegmentsPerWindow))) }
+    }
+
+    /** Those of the windows in question that are fixed; null when the store does not answer. */
+    private suspend fun closedWindows(segments: List<StoredSegment>, dueBefore: Long): Set<Long>? {
+        if (segments.isEmpty()) return emptySet()
+        val millis = settings.window.inWholeMilliseconds
+        val latest = dueBefore - Math.floorMod(dueBefore, millis) - millis
+        val starts = (segments.map { it.segment.windowStart } + latest).distinct()
+        val byKey = starts.associateBy { keys.window(keys.windowName(it)) }
+        val rows = table.read(byKey.keys.toList()).getOrNull() ?: return null
+        return rows.mapNotNull { byKey[it.key] }.toSet()
+    }
+
+    private suspend fun close(tenure: Tenure, plan: WindowPlan) {
+        val window = keys.windowName(plan.windowStart)
+        val body = WindowBody(plan.reports(window, keys::windowName)).encode()
+        val row = WindowRow(window, tenure.epoch, body).encode()
+        val consumed = plan.segments
+        val transaction = Transaction(
+            operation = newOperation(),
+            conditions = listOf(
+                LeaseKeys.stillHeld(duty, tenure.epoch),
+                Condition.Absent(keys.window(window)),
+            ) + consumed.map { Condition.VersionIs(it.key, it.version) },
+            writes = listOf(
+                Write.Put(keys.window(window), row),
+                Write.Put(keys.pending(window), row),
+            ) + consumed.map { Write.Delete(it.key) },
+        )
+        val closed = table.commit(transaction) is CommitOutcome.Committed
+        if (closed) events.record(UsageEvent.WINDOW_CLOSED, "window" with window, "segments" with consumed.size)
+    }
+
+    private suspend fun reportPending(tenure: Tenure) {
+        val pending = table.scan(keys.pending).getOrNull() ?: return
+        for (row in pending) {
+            if (!report(tenure, row)) return
+        }
+    }
+
+    private suspend fun report(tenure: Tenure, pending: Row): Boolean {
+        val window = WindowRow.decode(pending.value)
+        val sent = leases.act(duty, tenure.epoch) {
+            reports.report(window.window, tenure.epoch, window.body).getOrNull()
+        }
+        if (sent == null) {
+            events.record(UsageEvent.REPORT_LATE, "window" with window.window)
+            return false
+        }
+        events.record(UsageEvent.WINDOW_REPORTED, "window" with window.window)
+        return forget(pending)
+    }
+
+    private suspend fun forget(pending: Row): Boolean {
+        val condition = Condition.VersionIs(pending.key, pending.version)
+        val done = Transaction(newOperation(), listOf(condition), listOf(Write.Delete(pending.key)))
+        return table.commit(done) !is CommitOutcome.NotSent
+    }
+}
