Order engines and the platform through intents under the lease

Cause: an engine or the platform must never get conflicting orders, also from a paused or replaced holder.

--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/fleet/ChangeResult.kt
@@ -0,0 +1,25 @@
+package org.persimmonrelay.fleet
+
+import org.persimmonrelay.lease.HolderId
+import kotlin.time.Duration
+
+/** How an attempt at a change ended. */
+public sealed interface ChangeResult {
+    /** The receiver has done it, by its own word. */
+    public data object Done : ChangeResult
+
+    /** The platform declined, or the engine never got there: nothing is under way. */
+    public data class Declined(val message: String) : ChangeResult
+
+    /** Nothing was ordered; try again after [retryAfter]. */
+    public data class NotNow(val message: String, val retryAfter: Duration) : ChangeResult
+
+    /** This node is not in charge of the failure domain. */
+    public data object NotInCharge : ChangeResult
+
+    /** Nothing was ordered, because orders of [earlier] holders may still be under way to a receiver that takes all. */
+    public data class HeldBack(val earlier: List<HolderId>) : ChangeResult
+
+    /** The order or an earlier one is under way, its end not known yet; it is settled before anything else is ordered. */
+    public data class Unsettled(val message: String) : ChangeResult
+}
