Try orders to engines and the platform in random schedules

Cause: the laws on conflicting orders had no differential test. Change: laws for fencing and unchecked engines and for the platform; naive orders give each change time to end.

--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/experiment/laws/EngineOrderSchedule.kt
@@ -0,0 +1,53 @@
+package org.persimmonrelay.experiment.laws
+
+import org.persimmonrelay.engine.EngineAddress
+import org.persimmonrelay.engine.EngineOrder
+import org.persimmonrelay.engine.EngineOrderAnswer
+import org.persimmonrelay.identity.OperationId
+import org.persimmonrelay.identity.ServerId
+import org.persimmonrelay.standin.StandInServerOrders
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+
+/** One schedule of orders to two engines. */
+internal class EngineOrderSchedule(private val seed: Long, private val checksFencing: Boolean) {
+    private val world = VirtualWorld(seed, FleetProcesses.PROCESSES, FaultKind.entries)
+
+    fun runOurs(): Boolean {
+        val engines = engines { "intent/domain/engine/$it" }
+        FleetProcesses(world, engines, { StandInServerOrders() }, FleetProcesses::engineWish).run()
+        return holds(engines) && engines.values.sumOf { it.ledger.obeyed } > 0
+    }
+
+    fun runNaive(): Boolean {
+        val engines = engines { null }
+        world.run(SETTLE) { _, process ->
+            val client = VirtualEngineClient(world.network, process, engines)
+            engines.values.forEach { NaiveOrders(world, process, Random(seed), naiveSend(client, it)).start() }
+        }
+        return holds(engines)
+    }
+
+    private fun naiveSend(client: VirtualEngineClient, engine: VirtualEngine): suspend (Long, Long, Int) -> Boolean =
+        { number, epoch, _ ->
+            val operation = OperationId("order-${engine.id}-$number-$epoch")
+            val order = EngineOrder.Load(operation, epoch, "model-$number")
+            client.order(EngineAddress(engine.id.value), order).fold({ false }, { it is EngineOrderAnswer.Accepted })
+        }
+
+    private fun engines(intentKey: (ServerId) -> String?): Map<String, VirtualEngine> {
+        val engines = listOf("engine1", "engine2").map { name ->
+            val id = ServerId(name)
+            VirtualEngine(id, checksFencing, world.time, OrderLedger(world, intentKey(id)))
+        }
+        world.crashReceiver = { detail -> engines[detail % engines.size].crash() }
+        return engines.associateBy { it.id.value }
+    }
+
+    private fun holds(engines: Map<String, VirtualEngine>): Boolean =
+        engines.values.all { it.ledger.conflicts == 0 && it.ledger.unauthorized == 0 }
+
+    private companion object {
+        val SETTLE = 40.seconds
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/experiment/laws/FleetProcesses.kt
@@ -0,0 +1,114 @@
+package org.persimmonrelay.experiment.laws
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.persimmonrelay.engine.EngineAddress
+import org.persimmonrelay.engine.EngineRole
+import org.persimmonrelay.fleet.Change
+import org.persimmonrelay.fleet.Drains
+import org.persimmonrelay.fleet.FleetManager
+import org.persimmonrelay.fleet.FleetReceivers
+import org.persimmonrelay.fleet.FleetServer
+import org.persimmonrelay.identity.FailureDomain
+import org.persimmonrelay.identity.ServerId
+import org.persimmonrelay.lease.Duty
+import org.persimmonrelay.lease.LeaseManager
+import org.persimmonrelay.platform.Host
+import org.persimmonrelay.platform.HostList
+import org.persimmonrelay.platform.PriceClass
+import org.persimmonrelay.platform.ServerOrders
+import org.persimmonrelay.platform.StoreUnavailable
+import org.persimmonrelay.platform.WeightStore
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** The processes of an order law: each competes for one failure domain and, while it holds it, orders at random. */
+internal class FleetProcesses(
+    private val world: VirtualWorld,
+    private val engines: Map<String, VirtualEngine>,
+    private val ordersOf: (VirtualProcess) -> ServerOrders,
+    private val wishes: (Random) -> Change,
+) {
+    private val leases = arrayOfNulls<LeaseManager>(PROCESSES)
+
+    fun run() {
+        world.run(SETTLE) { place, process -> boot(place, process) }
+    }
+
+    private fun boot(place: Int, process: VirtualProcess) {
+        val manager = leaseManager(world, place, process, VirtualEvidence(world, process, leases))
+        leases[place] = manager
+        manager.compete(process.scope, DUTY)
+        val client = VirtualEngineClient(world.network, process, engines)
+        val fleet = FleetManager(
+            table = world.reliable(process),
+            leases = manager,
+            receivers = FleetReceivers(client, ordersOf(process), NO_NEWS, UNLIMITED),
+            drains = QUICK_DRAINS,
+            clock = process.clock,
+            domains = { 1 },
+            newOperation = world::newOperation,
+            orderWait = ORDER_WAIT,
+        )
+        engines.values.forEach { engine -> process.scope.launch { orderAtRandom(fleet, server(engine), process) } }
+    }
+
+    private suspend fun orderAtRandom(fleet: FleetManager, server: FleetServer, process: VirtualProcess) {
+        val random = Random(process.name.hashCode() + server.id.value.hashCode())
+        while (true) {
+            fleet.change(server, wishes(random))
+            delay(PAUSE * random.nextDouble())
+        }
+    }
+
+    companion object {
+        const val PROCESSES = 3
+        val DUTY = Duty.fleet(FailureDomain("domain"))
+        private val SETTLE = 40.seconds
+        private val PAUSE = 6.seconds
+        private val ORDER_WAIT = 13.seconds
+        private val UNLIMITED = object : WeightStore {
+            override suspend fun loadsPerMinute(): Either<StoreUnavailable, Int> = LOADS_PER_MINUTE.right()
+        }
+        private val NO_NEWS = object : HostList {
+            override suspend fun hosts(): Either<StoreUnavailable, List<Host>> =
+                StoreUnavailable("No host list in this experiment.").left()
+        }
+        private val QUICK_DRAINS = object : Drains {
+            override suspend fun drain(server: ServerId): Boolean {
+                delay(200.milliseconds)
+                return true
+            }
+
+            override suspend fun readmit(server: ServerId) = Unit
+        }
+        private const val LOADS_PER_MINUTE = 600
+
+        fun server(engine: VirtualEngine) = FleetServer(
+            id = engine.id,
+            address = EngineAddress(engine.id.value),
+            domain = FailureDomain("domain"),
+            checksFencing = engine.checksFencing,
+        )
+
+        /** A random wish for an engine. */
+        fun engineWish(random: Random): Change = if (random.nextBoolean()) {
+            Change.Role(
+                ROLES.random(random),
+            )
+        } else {
+            Change.Load("model-${random.nextInt(MODELS)}")
+        }
+
+        /** A random wish for the platform. */
+        fun platformWish(random: Random): Change =
+            if (random.nextBoolean()) Change.Start(PriceClass.CHEAP, "model") else Change.Stop
+
+        private const val MODELS = 3
+        private val ROLES = EngineRole.entries
+    }
+}
--- a/src/main/kotlin/org/persimmonrelay/experiment/laws/LawExperiment.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/laws/LawExperiment.kt
@@ -3,7 +3,15 @@
 /** Runs every law. */
 public object LawExperiment {
     /** All laws that have an experiment. */
-    public val laws: List<Law> = listOf(LeaseLaw.LAW, UsageLaw.LAW, OnceLaw.LAW, NotRunLaw.LAW)
+    public val laws: List<Law> = listOf(
+        OrderLaws.ENGINES,
+        OrderLaws.UNCHECKED_ENGINES,
+        LeaseLaw.LAW,
+        OrderLaws.PLATFORM,
+        UsageLaw.LAW,
+        OnceLaw.LAW,
+        NotRunLaw.LAW,
+    )
 
     /** Runs [schedules] schedules in all, shared evenly between the laws, from [seed]. */
     public fun run(schedules: Int, seed: Long): List<LawResult> {
--- a/src/main/kotlin/org/persimmonrelay/fleet/OrderExecutor.kt
+++ b/src/main/kotlin/org/persimmonrelay/fleet/OrderExecutor.kt
@@ -68,7 +68,12 @@
         if (wait.isPositive()) delay(wait)
     }
 
-    /** Sends [intent] until its end is certain or the sends of this call are used up. */
+    /**
+     * Sends [intent] until its end is certain or the sends of this call are used up.
+     *
+     * An engine's report counts only after the engine has answered a send of this holder, which has raised its
+     * fence; a report alone would leave an earlier holder's copy of the order free to arrive.
+     */
     private suspend fun settle(
         tenure: Tenure,
         server: FleetServer,
@@ -76,15 +81,16 @@
         intent: IntentRow,
     ): ChangeResult {
         repeat(settings.sendsPerCall) {
-            val receipt = send(tenure, server, intent) ?: Receipt.Silent
-            when (receipt) {
+            when (val receipt = send(tenure, server, intent) ?: Receipt.Silent) {
                 is Receipt.Done -> return end(tenure, server, stored, intent, null)
                 is Receipt.Declined -> return end(tenure, server, stored, intent, receipt.message)
                 is Receipt.Fenced -> return ChangeResult.NotInCharge
-                is Receipt.UnderWay, is Receipt.Silent -> Unit
+                is Receipt.Silent -> delay(settings.askEvery)
+                is Receipt.UnderWay -> {
+                    if (waitUntilDone(server, intent)) return end(tenure, server, stored, intent, null)
+                    if (isOverdue(intent)) return end(tenure, server, stored, intent, "The engine did not get there.")
+                }
             }
-            if (waitUntilDone(server, intent)) return end(tenure, server, stored, intent, null)
-            if (isOverdue(intent, receipt)) return end(tenure, server, stored, intent, "The engine did not get there.")
         }
         if (receiver.isGone(server)) return end(tenure, server, stored, intent, "The host is gone.")
         events.record(FleetEvent.ORDER_UNSETTLED, "server" with server.id, "operation" with intent.operation)
@@ -105,8 +111,7 @@
         return false
     }
 
-    private fun isOverdue(intent: IntentRow, receipt: Receipt): Boolean {
-        if (receipt !is Receipt.UnderWay) return false
+    private fun isOverdue(intent: IntentRow): Boolean {
         val since = takenSince.getOrPut(intent.operation.value) { clock.now() }
         return clock.now() >= since + settings.changeTimeout
     }
