--- a/src/main/kotlin/org/persimmonrelay/fleet/ChangeResult.kt
+++ b/src/main/kotlin/org/persimmonrelay/fleet/ChangeResult.kt
@@ -17,9 +17,9 @@
     /** This node is not in charge of the failure domain. */
     public data object NotInCharge : ChangeResult
 
-    /** Nothing was ordered, because orders of [earlier] holders may still be under way to a receiver that takes all. */
+    /** Nothing was ordered: orders of [earlier] holders may still be under way to a receiver that obeys any order. */
     public data class HeldBack(val earlier: List<HolderId>) : ChangeResult
 
-    /** The order or an earlier one is under way, its end not known yet; it is settled before anything else is ordered. */
+    /** An order is under way, its end not known yet; it is settled before anything else is ordered. */
     public data class Unsettled(val message: String) : ChangeResult
 }
--- a/src/main/kotlin/org/persimmonrelay/fleet/OrderExecutor.kt
+++ b/src/main/kotlin/org/persimmonrelay/fleet/OrderExecutor.kt
@@ -44,12 +44,30 @@
         if (!mayOrder(tenure, server)) return heldBack(server, tenure)
         val present = intents.read(IntentRow.key(server, receiver.kind)) ?: return storeSilent()
         val outstanding = present.row?.takeUnless { it.settled }
-        if (outstanding != null) {
-            val earlier = settle(tenure, server, present, outstanding)
-            if (earlier is ChangeResult.Unsettled || outstanding.change == change) return earlier
-            return ChangeResult.NotNow("An earlier order was settled first.", settings.askEvery)
+        return when {
+            outstanding == null -> prepare() ?: order(tenure, server, present, change)
+            outstanding.change == change -> settle(tenure, server, present, outstanding)
+            else -> settleEarlier(tenure, server, present, outstanding)
         }
-        prepare()?.let { return it }
+    }
+
+    private suspend fun settleEarlier(
+        tenure: Tenure,
+        server: FleetServer,
+        present: StoredIntent,
+        outstanding: IntentRow,
+    ): ChangeResult {
+        val earlier = settle(tenure, server, present, outstanding)
+        if (earlier is ChangeResult.Unsettled) return earlier
+        return ChangeResult.NotNow("An earlier order was settled first.", settings.askEvery)
+    }
+
+    private suspend fun order(
+        tenure: Tenure,
+        server: FleetServer,
+        present: StoredIntent,
+        change: Change,
+    ): ChangeResult {
         awaitQuiet(server)
         val next = nextIntent(server, tenure, present.row, change)
         val stored = intents.write(tenure, present, next) ?: return storeSilent()
@@ -81,15 +99,10 @@
         intent: IntentRow,
     ): ChangeResult {
         repeat(settings.sendsPerCall) {
-            when (val receipt = send(tenure, server, intent) ?: Receipt.Silent) {
-                is Receipt.Done -> return end(tenure, server, stored, intent, null)
-                is Receipt.Declined -> return end(tenure, server, stored, intent, receipt.message)
-                is Receipt.Fenced -> return ChangeResult.NotInCharge
-                is Receipt.Silent -> delay(settings.askEvery)
-                is Receipt.UnderWay -> {
-                    if (waitUntilDone(server, intent)) return end(tenure, server, stored, intent, null)
-                    if (isOverdue(intent)) return end(tenure, server, stored, intent, "The engine did not get there.")
-                }
+            when (val attempt = attempt(tenure, server, intent)) {
+                is Attempt.Ended -> return end(tenure, server, stored, intent, attempt.declined)
+                is Attempt.Fenced -> return ChangeResult.NotInCharge
+                is Attempt.Open -> Unit
             }
         }
         if (receiver.isGone(server)) return end(tenure, server, stored, intent, "The host is gone.")
@@ -97,6 +110,27 @@
         return ChangeResult.Unsettled("The order ${intent.operation} has no certain end yet; it will be sent again.")
     }
 
+    private suspend fun attempt(tenure: Tenure, server: FleetServer, intent: IntentRow): Attempt =
+        when (val receipt = send(tenure, server, intent) ?: Receipt.Silent) {
+            is Receipt.Done -> Attempt.Ended(declined = null)
+            is Receipt.Declined -> Attempt.Ended(receipt.message)
+            is Receipt.Fenced -> Attempt.Fenced
+            is Receipt.Silent -> Attempt.Open.also { delay(settings.askEvery) }
+            is Receipt.UnderWay -> when {
+                waitUntilDone(server, intent) -> Attempt.Ended(declined = null)
+                isOverdue(intent) -> Attempt.Ended("The engine did not get there.")
+                else -> Attempt.Open
+            }
+        }
+
+    private sealed interface Attempt {
+        data class Ended(val declined: String?) : Attempt
+
+        data object Fenced : Attempt
+
+        data object Open : Attempt
+    }
+
     private suspend fun send(tenure: Tenure, server: FleetServer, intent: IntentRow): Receipt? = try {
         leases.act(tenure.duty, tenure.epoch) { receiver.send(server, intent, tenure.epoch) }
     } finally {
--- a/src/main/kotlin/org/persimmonrelay/once/ClaimCommitter.kt
+++ b/src/main/kotlin/org/persimmonrelay/once/ClaimCommitter.kt
@@ -74,12 +74,12 @@
 
     private fun withoutTaken(batch: List<Claiming>, rows: Map<String, Row>): List<Claiming> {
         val (taken, free) = batch.partition { it.over != null || it.key in rows }
-        taken.forEach { it.result.complete(lost(it, rows[it.key])) }
+        taken.forEach { it.result.complete(lost(rows[it.key])) }
         if (taken.isEmpty()) finish(free) { ClaimResult.Unknown("The store named no row in the way.") }
         return if (taken.isEmpty()) emptyList() else free
     }
 
-    private fun lost(claiming: Claiming, row: Row?): ClaimResult {
+    private fun lost(row: Row?): ClaimResult {
         if (row == null) return ClaimResult.NotStored("The claim expired meanwhile.", settings.repeatAfter)
         return ClaimResult.Taken(ClaimRow.decode(row.value), row.version)
     }
--- a/src/main/kotlin/org/persimmonrelay/once/ClaimSweep.kt
+++ b/src/main/kotlin/org/persimmonrelay/once/ClaimSweep.kt
@@ -31,13 +31,12 @@
     public suspend fun pass(mayGoOn: () -> Boolean): Int {
         var after: String? = null
         var removed = 0
-        while (mayGoOn()) {
-            val page = table.scan(ClaimRow.PREFIX, after, settings.sweepPage).getOrNull() ?: break
+        do {
+            val page = table.scan(ClaimRow.PREFIX, after, settings.sweepPage).getOrNull().orEmpty()
             removed += remove(page.filter(::isExpired))
-            if (page.size < settings.sweepPage) break
-            after = page.last().key
+            after = page.lastOrNull()?.key
             delay(settings.sweepPause)
-        }
+        } while (page.size == settings.sweepPage && mayGoOn())
         if (removed > 0) events.record(OnceEvent.EXPIRED_CLAIMS_REMOVED, "rows" with removed)
         return removed
     }
--- a/src/main/kotlin/org/persimmonrelay/once/OnceRefusals.kt
+++ b/src/main/kotlin/org/persimmonrelay/once/OnceRefusals.kt
@@ -13,7 +13,7 @@
 
     fun inProgress(retryAfter: Duration): OnceAnswer = notRun(
         NotRunReason.IN_PROGRESS,
-        "The first call with this key is running, and this repeat was not run; repeat it to get the first one's answer.",
+        "The first call with this key is running and this repeat was not run; repeat it to get the answer.",
         retryAfter,
     )
 
--- a/src/main/kotlin/org/persimmonrelay/once/OnceSettings.kt
+++ b/src/main/kotlin/org/persimmonrelay/once/OnceSettings.kt
@@ -11,10 +11,14 @@
     val gatherWindow: Duration = 2.milliseconds,
     val maxBatch: Int = 64,
     val maxWaitingClaims: Int = 4_096,
-    val maxAnswerBytes: Int = 256 * 1024,
+    val maxAnswerBytes: Int = DEFAULT_ANSWER_BYTES,
     val retryOutcomeAfter: Duration = 1.seconds,
     val releaseTimeout: Duration = 1.seconds,
     val repeatAfter: Duration = 1.seconds,
     val sweepPage: Int = 200,
     val sweepPause: Duration = 2.seconds,
-)
+) {
+    private companion object {
+        const val DEFAULT_ANSWER_BYTES = 256 * 1024
+    }
+}
--- a/src/test/kotlin/org/persimmonrelay/experiment/laws/LawExperimentTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/experiment/laws/LawExperimentTest.kt
@@ -19,7 +19,7 @@
         }
 
     private companion object {
-        const val SCHEDULES_EACH = 1_000
+        const val SCHEDULES_EACH = 3_000
         const val SEED = 20_000L
     }
 }
--- a/src/test/kotlin/org/persimmonrelay/once/TableOnceManagerTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/once/TableOnceManagerTest.kt
@@ -1,6 +1,7 @@
 package org.persimmonrelay.once
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
@@ -185,12 +186,12 @@
         clock = SchedulerClock(this),
         node = NodeId(name),
         incarnation = Incarnation(incarnation),
-        liveness = { _, it -> it.value in alive },
+        liveness = { _, life -> life.value in alive },
         newOperation = ::operation,
     ).apply { start() }
 
     private fun TestScope.nodeScope() = CoroutineScope(
-        backgroundScope.coroutineContext + SupervisorJob(backgroundScope.coroutineContext[kotlinx.coroutines.Job]),
+        backgroundScope.coroutineContext + SupervisorJob(backgroundScope.coroutineContext[Job]),
     )
 
     private fun TestScope.table() = ReliableTable(service, SchedulerClock(this), Random(1))
