--- /dev/null
+++ b/src/test/kotlin/org/persimmonrelay/fleet/FleetManagerTest.kt
@@ -0,0 +1,236 @@
+package org.persimmonrelay.fleet
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.emptyFlow
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import org.persimmonrelay.engine.EngineAddress
+import org.persimmonrelay.engine.EngineClient
+import org.persimmonrelay.engine.EngineFailure
+import org.persimmonrelay.engine.EngineOrder
+import org.persimmonrelay.engine.EngineOrderAnswer
+import org.persimmonrelay.engine.EngineRole
+import org.persimmonrelay.engine.GenerateRequest
+import org.persimmonrelay.engine.LoadReport
+import org.persimmonrelay.engine.Piece
+import org.persimmonrelay.identity.FailureDomain
+import org.persimmonrelay.identity.Incarnation
+import org.persimmonrelay.identity.NodeId
+import org.persimmonrelay.identity.OperationId
+import org.persimmonrelay.identity.ServerId
+import org.persimmonrelay.lease.Duty
+import org.persimmonrelay.lease.HolderId
+import org.persimmonrelay.lease.LeaseManager
+import org.persimmonrelay.platform.Host
+import org.persimmonrelay.platform.HostState
+import org.persimmonrelay.platform.OrderAnswer
+import org.persimmonrelay.platform.PriceClass
+import org.persimmonrelay.platform.ReliableTable
+import org.persimmonrelay.platform.SchedulerClock
+import org.persimmonrelay.standin.StandInHostList
+import org.persimmonrelay.standin.StandInServerOrders
+import org.persimmonrelay.standin.StandInTable
+import org.persimmonrelay.standin.StandInWeightStore
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+class FleetManagerTest {
+    private val service = StandInTable()
+    private val engine = ScriptedEngine()
+    private val hosts = StandInHostList()
+    private val orders = StandInServerOrders()
+    private val drains = RecordingDrains()
+    private val weights = StandInWeightStore(limit = 60)
+    private var operations = 0
+
+    @Test
+    fun `a role change is ordered after a drain, and the engine is readmitted when it reports the role`() = runTest {
+        val fleet = manager()
+
+        val result = fleet.change(SERVER, PREFILL)
+
+        assertEquals(ChangeResult.Done, result)
+        assertEquals(listOf("drain", "readmit"), drains.calls)
+        assertEquals(1, engine.obeyed.size)
+    }
+
+    @Test
+    fun `a drain that could not be announced stops the change before any order`() = runTest {
+        drains.succeeds = false
+
+        val result = manager().change(SERVER, PREFILL)
+
+        assertIs<ChangeResult.NotNow>(result)
+        assertEquals(emptyList(), engine.obeyed)
+    }
+
+    @Test
+    fun `an engine that crashed in the middle of a change gets the same operation again`() = runTest {
+        engine.crashesBeforeDone = 1
+
+        val result = manager().change(SERVER, PREFILL)
+
+        assertEquals(ChangeResult.Done, result)
+        assertEquals(2, engine.obeyed.size)
+        assertEquals(1, engine.obeyed.map { it.operation }.distinct().size)
+    }
+
+    @Test
+    fun `an unsettled order is settled before another change is ordered`() = runTest {
+        val fleet = manager()
+        engine.silent = true
+        val first = fleet.change(SERVER, PREFILL)
+        engine.silent = false
+
+        val second = fleet.change(SERVER, Change.Role(EngineRole.DECODE))
+        val third = fleet.change(SERVER, Change.Role(EngineRole.DECODE))
+
+        assertIs<ChangeResult.Unsettled>(first)
+        assertIs<ChangeResult.NotNow>(second)
+        assertEquals(ChangeResult.Done, third)
+        assertEquals(
+            listOf(EngineRole.PREFILL, EngineRole.DECODE),
+            engine.obeyed.distinctBy { it.operation }.map { (it as EngineOrder.ChangeRole).role },
+        )
+    }
+
+    @Test
+    fun `an order to a host that is gone ends`() = runTest {
+        val fleet = manager()
+        engine.silent = true
+        hosts.remove(SERVER.id)
+
+        assertIs<ChangeResult.Declined>(fleet.change(SERVER, PREFILL))
+    }
+
+    @Test
+    fun `with the store down nothing is ordered`() = runTest {
+        val fleet = manager()
+        service.faults.down = true
+
+        val result = fleet.change(SERVER, PREFILL)
+
+        assertTrue(result is ChangeResult.NotNow || result is ChangeResult.NotInCharge, "$result")
+        assertEquals(emptyList(), engine.obeyed)
+    }
+
+    @Test
+    fun `a start whose answer was lost is repeated under its operation id and takes effect once`() = runTest {
+        orders.faults.loseNextAnswers = 2
+
+        val result = manager().change(SERVER, Change.Start(PriceClass.CHEAP, "m"))
+
+        assertEquals(ChangeResult.Done, result)
+        assertEquals(1, orders.obeyed.size)
+    }
+
+    @Test
+    fun `a declined start is over, and the next one is a new order`() = runTest {
+        var free = false
+        val scarce = StandInServerOrders { if (free) OrderAnswer.Accepted else OrderAnswer.Declined("None left.") }
+        val fleet = manager(scarce)
+        val declined = fleet.change(SERVER, Change.Start(PriceClass.CHEAP, "m"))
+        free = true
+
+        val accepted = fleet.change(SERVER, Change.Start(PriceClass.CHEAP, "m"))
+
+        assertIs<ChangeResult.Declined>(declined)
+        assertEquals(ChangeResult.Done, accepted)
+    }
+
+    @Test
+    fun `loads stay under this domain's share of the weight store's limit`() = runTest {
+        weights.limit = 4
+        val fleet = manager()
+        val results = (1..600).map {
+            delay(1.seconds)
+            fleet.change(SERVER, Change.Load("model-$it"))
+        }
+
+        val loads = results.count { it is ChangeResult.Done }
+        assertTrue(loads in 5..20, "10 minutes at half of 4 loads a minute allow 20, not $loads")
+    }
+
+    private suspend fun TestScope.manager(platform: StandInServerOrders = orders): FleetManager {
+        val clock = SchedulerClock(this)
+        val table = ReliableTable(service, clock, Random(1))
+        val newOperation = { OperationId("op-${operations++}") }
+        hosts.put(HOST)
+        val leases = LeaseManager(
+            table = table,
+            self = HolderId(NodeId("a"), Incarnation("a-1")),
+            clock = clock,
+            random = Random(1),
+            evidence = { _, _, _ -> false },
+            liveNodes = { NODES },
+            newOperation = newOperation,
+        )
+        leases.compete(backgroundScope, Duty.fleet(SERVER.domain))
+        delay(2.seconds)
+        val receivers = FleetReceivers(engine, platform, hosts, weights)
+        return FleetManager(table, leases, receivers, drains, clock, { 2 }, newOperation, orderWait = 13.seconds)
+    }
+
+    private class RecordingDrains : Drains {
+        val calls = mutableListOf<String>()
+        var succeeds = true
+
+        override suspend fun drain(server: ServerId): Boolean {
+            calls += "drain"
+            return succeeds
+        }
+
+        override suspend fun readmit(server: ServerId) {
+            calls += "readmit"
+        }
+    }
+
+    /** Does what it is ordered at once, unless told to crash before it is done or to be silent. */
+    private class ScriptedEngine : EngineClient {
+        val obeyed = mutableListOf<EngineOrder>()
+        var crashesBeforeDone = 0
+        var silent = false
+        private var role = EngineRole.MIXED
+        private var models = emptyList<String>()
+
+        override fun generate(address: EngineAddress, request: GenerateRequest): Flow<Either<EngineFailure, Piece>> =
+            emptyFlow()
+
+        override suspend fun load(address: EngineAddress): Either<EngineFailure, LoadReport> =
+            if (silent) EngineFailure.Silent("silent").left() else report().right()
+
+        override suspend fun order(
+            address: EngineAddress,
+            order: EngineOrder,
+        ): Either<EngineFailure, EngineOrderAnswer> {
+            if (silent) return EngineFailure.Silent("silent").left()
+            obeyed += order
+            if (crashesBeforeDone-- <= 0) finish(order)
+            return EngineOrderAnswer.Accepted.right()
+        }
+
+        private fun finish(order: EngineOrder) {
+            when (order) {
+                is EngineOrder.ChangeRole -> role = order.role
+                is EngineOrder.Load -> models = listOf(order.model)
+            }
+        }
+
+        private fun report() = LoadReport(SERVER.id, "1", 1, role, models, 0, 0, 0, 0, 0)
+    }
+
+    private companion object {
+        val SERVER = FleetServer(ServerId("s"), EngineAddress("127.0.0.1:1"), FailureDomain("d"), checksFencing = true)
+        val HOST = Host(SERVER.id, "127.0.0.1:1", SERVER.domain, "r", PriceClass.ORDINARY, HostState.LIVE, "1")
+        val PREFILL = Change.Role(EngineRole.PREFILL)
+        val NODES = listOf(NodeId("a"))
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/persimmonrelay/lease/LeaseManagerTest.kt
@@ -0,0 +1,135 @@
+package org.persimmonrelay.lease
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.job
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import org.persimmonrelay.identity.Incarnation
+import org.persimmonrelay.identity.NodeId
+import org.persimmonrelay.identity.OperationId
+import org.persimmonrelay.platform.ReliableTable
+import org.persimmonrelay.platform.SchedulerClock
+import org.persimmonrelay.standin.StandInTable
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+class LeaseManagerTest {
+    private val service = StandInTable()
+    private val stopped = mutableSetOf<HolderId>()
+    private var operations = 0
+
+    @Test
+    fun `a leaving holder gives its lease back, and its successor has no one to wait for`() = runTest {
+        val a = compete("a")
+        delay(5.seconds)
+        val b = compete("b")
+        delay(5.seconds)
+
+        a.leave()
+        delay(4.seconds)
+
+        assertNull(a.tenure(DUTY))
+        assertTrue(assertNotNull(b.tenure(DUTY)).isSole)
+    }
+
+    @Test
+    fun `after a silent takeover the earlier holder stays unresolved until it is proved to have stopped`() = runTest {
+        val life = nodeScope()
+        compete("a", life)
+        delay(5.seconds)
+        val b = compete("b")
+        life.cancel()
+        delay(20.seconds)
+        val unresolved = assertNotNull(b.tenure(DUTY)).unresolved
+
+        stopped += unresolved
+        delay(10.seconds)
+
+        assertEquals(listOf(HolderId(NodeId("a"), Incarnation("a-1"))), unresolved)
+        assertTrue(assertNotNull(b.tenure(DUTY)).isSole)
+    }
+
+    @Test
+    fun `a store outage ends the authority in time, and its end gives the lease back to its holder`() = runTest {
+        val a = compete("a")
+        val b = compete("b")
+        delay(5.seconds)
+        val holder = listOf(a, b).single { it.tenure(DUTY) != null }
+        service.faults.down = true
+        delay(10.seconds)
+        val inOutage = holder.tenure(DUTY)
+        delay(60.seconds)
+        service.faults.down = false
+        delay(12.seconds)
+
+        assertNull(inOutage)
+        assertNotNull(holder.tenure(DUTY))
+    }
+
+    @Test
+    fun `a holder in the middle of a send does not answer that it stepped down until the message has expired`() =
+        runTest {
+            val a = compete("a")
+            delay(5.seconds)
+            val tenure = assertNotNull(a.tenure(DUTY))
+            val request = StepDownRequest(DUTY, tenure.epoch, HolderId(NodeId("a"), Incarnation("a-1")))
+            val send = async { a.act(DUTY, tenure.epoch) { delay(30.seconds) } }
+            delay(1.seconds)
+
+            val inSend = a.stepDown(request)
+            send.await()
+            val rightAfter = a.stepDown(request)
+            delay(6.seconds)
+
+            assertFalse(inSend.stopped)
+            assertFalse(rightAfter.stopped)
+            assertTrue(a.stepDown(request).stopped)
+            assertNull(a.act(DUTY, tenure.epoch) { }, "no send of that epoch follows")
+        }
+
+    @Test
+    fun `a lost answer to a renewal does not cost the lease`() = runTest {
+        val a = compete("a")
+        delay(5.seconds)
+        val epoch = assertNotNull(a.tenure(DUTY)).epoch
+        repeat(10) {
+            service.faults.loseNextAnswers = 1
+            delay(3.seconds)
+        }
+
+        assertEquals(epoch, a.tenure(DUTY)?.epoch)
+    }
+
+    private fun TestScope.compete(name: String, scope: CoroutineScope = nodeScope()): LeaseManager {
+        val clock = SchedulerClock(this)
+        val manager = LeaseManager(
+            table = ReliableTable(service, clock, Random(1)),
+            self = HolderId(NodeId(name), Incarnation("$name-1")),
+            clock = clock,
+            random = Random(name.hashCode()),
+            evidence = { _, _, holder -> holder in stopped },
+            liveNodes = { NODES },
+            newOperation = { OperationId("op-${operations++}") },
+        )
+        manager.compete(scope, DUTY)
+        return manager
+    }
+
+    private fun TestScope.nodeScope() =
+        CoroutineScope(backgroundScope.coroutineContext + SupervisorJob(backgroundScope.coroutineContext.job))
+
+    private companion object {
+        val DUTY = Duty("duty")
+        val NODES = listOf(NodeId("a"), NodeId("b"))
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/persimmonrelay/usage/WindowCloserTest.kt
@@ -0,0 +1,82 @@
+package org.persimmonrelay.usage
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import org.persimmonrelay.identity.Incarnation
+import org.persimmonrelay.identity.NodeId
+import org.persimmonrelay.identity.OperationId
+import org.persimmonrelay.identity.WorkspaceId
+import org.persimmonrelay.lease.HolderId
+import org.persimmonrelay.lease.LeaseManager
+import org.persimmonrelay.platform.ReliableTable
+import org.persimmonrelay.platform.SchedulerClock
+import org.persimmonrelay.standin.StandInTable
+import org.persimmonrelay.standin.StandInUsageReports
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.minutes
+
+class WindowCloserTest {
+    private val service = StandInTable()
+    private val reports = StandInUsageReports()
+    private var operations = 0
+
+    @Test
+    fun `a report whose answer was lost is sent again with the same bytes`() = runTest {
+        val meter = node()
+        reports.faults.loseNextAnswers = 2
+        meter.record(WORKSPACE, promptTokens = 10, outputTokens = 2)
+        delay(8.minutes)
+
+        assertEquals(3, reports.taken.size)
+        assertEquals(1, reports.taken.distinct().size)
+        assertTrue("\"promptTokens\":10" in reports.taken.first().body)
+    }
+
+    @Test
+    fun `usage of a long store outage is reported once, when the store is back`() = runTest {
+        val meter = node()
+        delay(1.minutes)
+        service.faults.down = true
+        repeat(60) {
+            meter.record(WORKSPACE, promptTokens = 1, outputTokens = 0)
+            delay(1.minutes)
+        }
+        val inOutage = reports.taken.size
+        service.faults.down = false
+        delay(15.minutes)
+
+        assertEquals(0, inOutage)
+        assertEquals(60, reports.taken.sumOf { promptTokens(it.body) })
+        assertEquals(emptySet(), reports.contradicted)
+    }
+
+    private fun promptTokens(body: String): Int =
+        Regex("\"promptTokens\":(\\d+)").findAll(body).sumOf { it.groupValues[1].toInt() }
+
+    private fun TestScope.node(): UsageMeter {
+        val clock = SchedulerClock(this)
+        val table = ReliableTable(service, clock, Random(1))
+        val newOperation = { OperationId("op-${operations++}") }
+        val incarnation = Incarnation("a-1")
+        val leases = LeaseManager(
+            table = table,
+            self = HolderId(NodeId("a"), incarnation),
+            clock = clock,
+            random = Random(1),
+            evidence = { _, _, _ -> false },
+            liveNodes = { NODES },
+            newOperation = newOperation,
+        )
+        WindowCloser(table, reports, leases, clock, shard = 0, newOperation).start(backgroundScope)
+        return UsageRecorder(table, clock, incarnation).apply { start(backgroundScope) }
+    }
+
+    private companion object {
+        val WORKSPACE = WorkspaceId("w")
+        val NODES = listOf(NodeId("a"))
+    }
+}
