--- a/src/main/kotlin/org/persimmonrelay/platform/HostList.kt
+++ b/src/main/kotlin/org/persimmonrelay/platform/HostList.kt
@@ -22,6 +22,6 @@
 )
 
 /** The platform's list of hosts of backend servers. A host that is gone is absent. */
-public interface HostList {
+public fun interface HostList {
     public suspend fun hosts(): Either<StoreUnavailable, List<Host>>
 }
--- a/src/main/kotlin/org/persimmonrelay/platform/ServerOrders.kt
+++ b/src/main/kotlin/org/persimmonrelay/platform/ServerOrders.kt
@@ -52,6 +52,6 @@
 }
 
 /** The interface that orders backend servers. */
-public interface ServerOrders {
+public fun interface ServerOrders {
     public suspend fun send(order: ServerOrder): Either<StoreUnavailable, OrderAnswer>
 }
--- a/src/main/kotlin/org/persimmonrelay/platform/UsageReports.kt
+++ b/src/main/kotlin/org/persimmonrelay/platform/UsageReports.kt
@@ -15,6 +15,6 @@
 )
 
 /** The interface that takes usage reports. A repeated window must carry the very same [body]. */
-public interface UsageReports {
+public fun interface UsageReports {
     public suspend fun report(window: String, epoch: Long, body: String): Either<StoreUnavailable, Unit>
 }
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/platform/http/HttpHostList.kt
@@ -0,0 +1,12 @@
+package org.persimmonrelay.platform.http
+
+import arrow.core.Either
+import org.persimmonrelay.platform.Host
+import org.persimmonrelay.platform.HostList
+import org.persimmonrelay.platform.StoreUnavailable
+
+/** The host list at [base] over HTTP. */
+public class HttpHostList(private val http: PlatformHttp, private val base: String) : HostList {
+    override suspend fun hosts(): Either<StoreUnavailable, List<Host>> =
+        http.get(base, HostsMessage.serializer()).map { it.hosts }
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/platform/http/HttpUsageReports.kt
@@ -0,0 +1,13 @@
+package org.persimmonrelay.platform.http
+
+import arrow.core.Either
+import kotlinx.serialization.json.JsonElement
+import org.persimmonrelay.platform.StoreUnavailable
+import org.persimmonrelay.platform.UsageReports
+
+/** The usage interface at [base] over HTTP. */
+public class HttpUsageReports(private val http: PlatformHttp, private val base: String) : UsageReports {
+    override suspend fun report(window: String, epoch: Long, body: String): Either<StoreUnavailable, Unit> = http
+        .post(base, UsageMessage(window, epoch, body), UsageMessage.serializer(), JsonElement.serializer())
+        .map { }
+}
