--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/node/SecretReader.kt
@@ -0,0 +1,41 @@
+package org.persimmonrelay.node
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.persimmonrelay.settings.SecretSource
+import java.io.File
+import java.io.IOException
+
+/** A secret that could not be read; [message] names the place, never the content. */
+public data class SecretFailure(
+    val message: String,
+)
+
+/** Reads secrets from the places that settings name. */
+public class SecretReader(
+    private val environment: (String) -> String? = System::getenv,
+) {
+    public fun read(source: SecretSource): Either<SecretFailure, ByteArray> {
+        val text = fromFile(source.file) ?: source.environment?.let(environment)
+        val secret = text?.trim().orEmpty()
+        if (secret.length < MIN_CHARACTERS) return SecretFailure(remedy(source)).left()
+        return secret.toByteArray().right()
+    }
+
+    private fun fromFile(path: String?): String? =
+        try {
+            path?.let { File(it).readText() }
+        } catch (_: IOException) {
+            null
+        }
+
+    private fun remedy(source: SecretSource): String {
+        val place = source.file?.let { "file $it" } ?: "environment variable ${source.environment}"
+        return "No secret of at least $MIN_CHARACTERS characters in $place; put the same one there on every node."
+    }
+
+    private companion object {
+        const val MIN_CHARACTERS = 16
+    }
+}
