Give the configuration versions, a view and a freshness rule for keys

Cause: nodes need one configuration that never reverts, and keys that stop working within seconds, without a coordination service of our own.

--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/catalog/CatalogPeers.kt
@@ -0,0 +1,154 @@
+package org.persimmonrelay.catalog
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
+import kotlinx.coroutines.withTimeoutOrNull
+import org.persimmonrelay.clock.Clock
+import org.persimmonrelay.identity.NodeId
+import org.persimmonrelay.membership.Member
+import org.persimmonrelay.membership.MemberState
+import org.persimmonrelay.membership.Membership
+import org.persimmonrelay.peer.PeerAddress
+import org.persimmonrelay.peer.PeerNetwork
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** How far a stored change has got: [confirmed] of [expected] nodes have it, the accepting one included. */
+public data class Spread(val confirmed: Int, val expected: Int) {
+    /** True when every majority of the nodes has one that knows the change. */
+    public val isMajority: Boolean
+        get() = confirmed * 2 > expected
+}
+
+/** Configuration between nodes: pushes to all, fetches from one, and questions about freshness. */
+public class CatalogPeers(
+    private val network: PeerNetwork,
+    private val membership: Membership,
+    private val state: CatalogState,
+    private val guard: FreshnessGuard,
+    private val clock: Clock,
+) {
+    private val outgoing = SnapshotParts(state)
+
+    /** Answers peers from now on. To be called before the node joins. */
+    public fun register() {
+        network.serve(CatalogMethods.PUSH, ::onPush)
+        network.serve(CatalogMethods.FETCH, ::onFetch)
+        network.serve(CatalogMethods.PROBE) { answerProbe() }
+    }
+
+    /** Sends [delta] to every member and tells how many have confirmed it within the time for one round. */
+    public suspend fun push(delta: Delta): Spread {
+        val others = others()
+        val confirmed = AtomicInteger(if (guard.started) 1 else 0)
+        val message = ConfigPush(self(), CatalogJson.stored.encodeToString(Delta.serializer(), delta))
+        withTimeoutOrNull(ROUND_TIMEOUT) { pushToAll(others, message, delta.version, confirmed) }
+        return Spread(confirmed.get(), guard.expectedNodes().size)
+    }
+
+    private suspend fun pushToAll(
+        others: List<Member>,
+        message: ConfigPush,
+        version: Long,
+        confirmed: AtomicInteger,
+    ): Unit = coroutineScope {
+        val permits = Semaphore(PUSHES_AT_ONCE)
+        others.sortedBy { it.state == MemberState.FAILED }.forEach { member ->
+            async {
+                permits.withPermit {
+                    val answer = network.call(member.address, CatalogMethods.PUSH, message, PUSH_TIMEOUT).getOrNull()
+                    if (answer != null && answer.started && answer.version >= version) confirmed.incrementAndGet()
+                }
+            }
+        }
+    }
+
+    /** Asks [member] how new its configuration is, adopts what is newer, and learns from the answer. */
+    public suspend fun ask(member: Member) {
+        val sent = clock.now()
+        val probe = FreshnessProbe(state.current.version)
+        val answer = network.call(member.address, CatalogMethods.PROBE, probe, PROBE_TIMEOUT).getOrNull() ?: return
+        if (answer.version > state.current.version) fetchFrom(member.address, answer.version)
+        val report = answer.toReport(guard.expectedNodes())
+        guard.onReport(report, state.current.version, sent, clock.now())
+    }
+
+    /** Members other than this node that have not left. */
+    public fun others(): List<Member> {
+        val view = membership.view.value
+        return view.members.filter { it.address.node != view.self.address.node && it.state != MemberState.LEFT }
+    }
+
+    private suspend fun fetchFrom(peer: PeerAddress, version: Long) {
+        while (state.current.version < version) {
+            val before = state.current.version
+            val answer = fetch(peer, ConfigFetch(before)) ?: return
+            state.adopt(answer.deltas.map(::deltaIn))
+            if (answer.snapshot > 0) fetchSnapshot(peer, answer)
+            if (state.current.version == before) return
+        }
+    }
+
+    private suspend fun fetchSnapshot(peer: PeerAddress, first: ConfigFetchAnswer) {
+        val rest = (1 until first.parts).map { part ->
+            fetch(peer, ConfigFetch(0, first.snapshot, part))?.takeIf { it.snapshot == first.snapshot } ?: return
+        }
+        val bytes = (listOf(first) + rest).map { it.bytes }.reduce(ByteArray::plus)
+        state.adopt(CatalogJson.decodeSnapshot(bytes))
+    }
+
+    private suspend fun fetch(peer: PeerAddress, request: ConfigFetch): ConfigFetchAnswer? =
+        network.call(peer, CatalogMethods.FETCH, request, FETCH_TIMEOUT).getOrNull()
+
+    private suspend fun onPush(push: ConfigPush): ConfigPushAnswer {
+        val delta = deltaIn(push.delta)
+        state.adopt(listOf(delta))
+        if (state.current.version < delta.version) fetchFrom(push.from, delta.version)
+        val started = guard.started
+        return ConfigPushAnswer(state.current.version, started)
+    }
+
+    private fun onFetch(request: ConfigFetch): ConfigFetchAnswer {
+        if (request.snapshot > 0) return outgoing.part(request.snapshot, request.part)
+        val deltas = state.deltasAfter(request.after) ?: return outgoing.first()
+        return ConfigFetchAnswer(deltas.take(DELTAS_AT_ONCE).map(::encoded))
+    }
+
+    private fun answerProbe(): FreshnessAnswer {
+        val report = guard.report(clock.now()) { state.current.version }
+        return FreshnessAnswer(
+            from = report.from.value,
+            started = report.started,
+            version = report.version,
+            storeAgeMillis = report.storeAge?.let { it.inWholeMilliseconds + 1 } ?: NO_AGE,
+            heard = HeardCodec.pack(report.heard),
+        )
+    }
+
+    private fun FreshnessAnswer.toReport(members: Set<NodeId>) = FreshnessReport(
+        from = NodeId(from),
+        started = started,
+        version = version,
+        storeAge = storeAgeMillis.takeIf { it >= 0 }?.milliseconds,
+        heard = HeardCodec.unpack(heard, members),
+    )
+
+    private fun self(): PeerAddress = membership.view.value.self.address
+
+    private fun deltaIn(json: String): Delta = CatalogJson.stored.decodeFromString(Delta.serializer(), json)
+
+    private fun encoded(delta: Delta): String = CatalogJson.stored.encodeToString(Delta.serializer(), delta)
+
+    private companion object {
+        const val PUSHES_AT_ONCE = 64
+        const val DELTAS_AT_ONCE = 8
+        const val NO_AGE = -1L
+        val PUSH_TIMEOUT = 1.seconds
+        val ROUND_TIMEOUT = 2500.milliseconds
+        val PROBE_TIMEOUT = 800.milliseconds
+        val FETCH_TIMEOUT = 3.seconds
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/catalog/CatalogRepository.kt
@@ -0,0 +1,200 @@
+/*
+ * Configuration in the table service. A change is one transaction: the head row goes from version n to n + 1 and
+ * the row of change n + 1 is created. Both conditions together make versions a single line without gaps.
+ *
+ * An answer can be lost after the transaction took effect, and a transaction can still be under way when its
+ * caller gives up on it. Both are settled by sending the same transaction again: if either attempt took effect,
+ * the head has moved on, so that the other can't, and the change row names the operation that won.
+ */
+package org.persimmonrelay.catalog
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.Raise
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import arrow.core.right
+import kotlinx.coroutines.delay
+import org.persimmonrelay.platform.CommitResult
+import org.persimmonrelay.platform.Condition
+import org.persimmonrelay.platform.Row
+import org.persimmonrelay.platform.StoreUnavailable
+import org.persimmonrelay.platform.TableService
+import org.persimmonrelay.platform.Transaction
+import org.persimmonrelay.platform.Write
+import org.persimmonrelay.timeline.EventSink
+import org.persimmonrelay.timeline.with
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Reads and writes the configuration's rows, and brings [state] up to what it reads. */
+public class CatalogRepository(
+    private val table: TableService,
+    private val state: CatalogState,
+    private val snapshots: SnapshotRepository,
+    private val operations: OperationIds,
+    private val events: EventSink,
+) {
+    /** Brings [state] to the newest stored version, and returns that version. */
+    public suspend fun catchUp(): Either<StoreUnavailable, Long> = either {
+        val head = readHead().bind().version
+        adoptUpTo(head).bind()
+        head
+    }
+
+    /** What [version] changed, or null when there is no such version or its row was pruned. */
+    public suspend fun deltaOf(version: Long): Either<StoreUnavailable, Delta?> =
+        table.read(listOf(CatalogRows.change(version))).map { rows -> rows.firstOrNull()?.let(::deltaIn) }
+
+    /** Applies [request] against the newest stored version. */
+    public suspend fun apply(request: ChangeRequest): Either<ChangeFailure, ChangeResult> {
+        repeat(MAX_RACES) {
+            val attempt = attempt(request)
+            if (attempt is Attempt.Done) return attempt.result.also(::record)
+        }
+        val failure = ChangeFailure.Conflict(
+            state.current.version,
+            "Other changes came first $MAX_RACES times in a row.",
+        )
+        return failure.left().also(::record)
+    }
+
+    private suspend fun attempt(request: ChangeRequest): Attempt {
+        val head = readHead().fold({ return failed(it) }, { it })
+        adoptUpTo(head.version).onLeft { return failed(it) }
+        val view = state.current
+        if (view.version != head.version) return Attempt.Raced
+        val changes = either { changesFor(request, view) }.fold({ return Attempt.Done(it.left()) }, { it })
+        return when {
+            changes.isEmpty() -> Attempt.Done(ChangeResult.Unchanged(view.version).right())
+            request.dryRun -> Attempt.Done(ChangeResult.Checked(view.version + 1, changes).right())
+            else -> commit(head, Delta(view.version + 1, operations.next(), changes))
+        }
+    }
+
+    private fun Raise<ChangeFailure>.changesFor(request: ChangeRequest, view: DefaultCatalogView): List<Change> {
+        ExpectationCheck(view).conflictWith(request)?.let { raise(it) }
+        val changes = request.edit.changes(view).bind().filterNot { isInForce(it, view) }
+        val mistakes = CatalogValidator.mistakesIn(view, changes)
+        ensure(mistakes.isEmpty()) { ChangeFailure.Invalid(mistakes) }
+        return changes
+    }
+
+    private fun isInForce(change: Change, view: DefaultCatalogView) =
+        change is Change.Put && view.find(change.ref) == change.value
+
+    private suspend fun commit(head: HeadRow, delta: Delta): Attempt {
+        val encoded = CatalogJson.stored.encodeToString(Delta.serializer(), delta)
+        if (encoded.length > MAX_DELTA_CHARACTERS) return Attempt.Done(tooLarge(encoded.length).left())
+        val transaction = transaction(head, delta, encoded)
+        repeat(MAX_SENDS) { sent ->
+            if (sent > 0) delay(RESEND_AFTER * sent)
+            val answer = table.commit(transaction).getOrNull() ?: return@repeat
+            return if (isStored(answer, delta)) stored(delta) else Attempt.Raced
+        }
+        return Attempt.Done(ChangeFailure.OutcomeUnknown(delta.version, delta.operation).left())
+    }
+
+    private fun transaction(head: HeadRow, delta: Delta, encoded: String): Transaction {
+        val newHead = CatalogJson.stored.encodeToString(Head.serializer(), Head(delta.version, delta.operation))
+        val row = CatalogRows.change(delta.version)
+        return Transaction(
+            operation = delta.operation,
+            conditions = listOf(head.unchanged, Condition.Absent(row)),
+            writes = listOf(Write.Put(CatalogRows.HEAD, newHead), Write.Put(row, encoded)),
+        )
+    }
+
+    private fun isStored(answer: CommitResult, delta: Delta): Boolean = when (answer) {
+        is CommitResult.Committed -> true
+        is CommitResult.Conflict -> answer.current.any { it.isChangeBy(delta) }
+    }
+
+    private fun Row.isChangeBy(delta: Delta) = key == CatalogRows.change(delta.version) && operation == delta.operation
+
+    private fun stored(delta: Delta): Attempt {
+        state.adopt(listOf(delta))
+        return Attempt.Done(ChangeResult.Stored(delta.version, delta.operation, delta).right())
+    }
+
+    private suspend fun adoptUpTo(head: Long): Either<StoreUnavailable, Unit> = either {
+        while (state.current.version < head) {
+            val before = state.current.version
+            val rows = table.scan(CatalogRows.CHANGE_PREFIX, CatalogRows.change(before), SCAN_LIMIT).bind()
+            state.adopt(rows.map(::deltaIn))
+            if (state.current.version == before) snapshots.loadNewerThan(before).bind()
+        }
+    }
+
+    private suspend fun readHead(): Either<StoreUnavailable, HeadRow> =
+        table.read(listOf(CatalogRows.HEAD)).map { rows -> HeadRow(rows.firstOrNull()) }
+
+    private fun deltaIn(row: Row): Delta = CatalogJson.stored.decodeFromString(Delta.serializer(), row.value)
+
+    private fun failed(reason: StoreUnavailable): Attempt =
+        Attempt.Done(ChangeFailure.Unavailable(reason.message).left())
+
+    private fun tooLarge(size: Int) = ChangeFailure.Invalid(
+        listOf(
+            CatalogMistake(
+                path = "change",
+                message = "$size characters are more than one change may hold, $MAX_DELTA_CHARACTERS.",
+                remedy = "Split it into several changes.",
+            ),
+        ),
+    )
+
+    private fun record(result: Either<ChangeFailure, ChangeResult>) {
+        when (val value = result.fold({ it }, { it })) {
+            is ChangeResult.Stored ->
+                events.record(
+                    CatalogEvent.CHANGE_STORED,
+                    "version" with value.version,
+                    "operation" with value.operation,
+                )
+            is ChangeFailure.Conflict -> events.record(CatalogEvent.CHANGE_CONFLICT, "version" with value.current)
+            is ChangeFailure.OutcomeUnknown ->
+                events.record(
+                    CatalogEvent.CHANGE_UNKNOWN,
+                    "version" with value.version,
+                    "operation" with value.operation,
+                )
+        }
+    }
+
+    private sealed interface Attempt {
+        data class Done(val result: Either<ChangeFailure, ChangeResult>) : Attempt
+
+        /** Another change came first; nothing of this one was stored. */
+        data object Raced : Attempt
+    }
+
+    private class HeadRow(row: Row?) {
+        val version: Long = row?.let { CatalogJson.stored.decodeFromString(Head.serializer(), it.value).version } ?: 0
+        val unchanged: Condition =
+            row?.let { Condition.VersionIs(it.key, it.version) } ?: Condition.Absent(CatalogRows.HEAD)
+    }
+
+    private companion object {
+        const val MAX_RACES = 8
+        const val MAX_SENDS = 3
+        const val MAX_DELTA_CHARACTERS = 256 * 1024
+        const val SCAN_LIMIT = 200
+        val RESEND_AFTER = 200.milliseconds
+    }
+}
+
+/** Compares what an operator expects with the configuration. */
+internal class ExpectationCheck(private val view: DefaultCatalogView) {
+    fun conflictWith(request: ChangeRequest): ChangeFailure.Conflict? {
+        val head = request.headVersion
+        if (head != null && head != view.version) {
+            return conflict("The configuration is at version ${view.version}, not $head.")
+        }
+        val other = request.expected.firstOrNull { view.versionOf(it.ref) != it.version } ?: return null
+        return conflict("${other.ref} ${describe(view.versionOf(other.ref))}, not ${other.version ?: "absent"}.")
+    }
+
+    private fun conflict(message: String) = ChangeFailure.Conflict(view.version, message)
+
+    private fun describe(version: Long?) = if (version == null) "does not exist" else "was written by version $version"
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/catalog/CatalogValidator.kt
@@ -0,0 +1,182 @@
+package org.persimmonrelay.catalog
+
+/** Finds every mistake in a change before it is stored, so that nodes only ever see a sound configuration. */
+public object CatalogValidator {
+    private const val MAX_NAME_LENGTH = 63
+    private const val MAX_LABELS = 32
+    private const val MAX_LABEL_LENGTH = 63
+    private const val MAX_WEIGHT = 10_000
+    private const val MAX_SECONDS = 3_600.0
+    private const val MAX_MILLIS = 60_000.0
+    private const val MAX_TOKENS = 10_000_000
+    private const val DIGEST_PATTERN_LENGTH = 64
+    private val NAME = Regex("[a-z0-9]([a-z0-9._-]*[a-z0-9])?")
+    private val ADDRESS = Regex("[^\\s/:]+:\\d{1,5}|\\[[0-9a-fA-F:]+]:\\d{1,5}")
+    private val METHODS = setOf("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+
+    /** Every mistake in [changes] to [before]; empty when the change is sound. */
+    public fun mistakesIn(before: DefaultCatalogView, changes: List<Change>): List<CatalogMistake> {
+        val twice = changes.groupBy { it.ref }.filterValues { it.size > 1 }.keys
+        if (twice.isNotEmpty()) return twice.map(::namedTwice)
+        val after = before.with(changes)
+        return changes.flatMap { change ->
+            when (change) {
+                is Change.Put -> MistakeCollector(change.ref).apply { check(change.value, before, after) }.mistakes
+                is Change.Delete -> deletionMistakes(change.ref, before, after)
+            }
+        }
+    }
+
+    private fun namedTwice(ref: ObjectRef) =
+        CatalogMistake("$ref", "The change names this object more than once.", "Keep one entry for it.")
+
+    private fun deletionMistakes(ref: ObjectRef, before: DefaultCatalogView, after: DefaultCatalogView) =
+        MistakeCollector(ref).apply {
+            check(before.find(ref) != null, "", "There is no such object.", "Check the name with `ctl get`.")
+            if (ref.kind != ObjectKind.WORKSPACE) return@apply
+            val users = after.select(ObjectKind.KEY, Selector.ALL).filter { (it as ApiKey).workspace == ref.name }
+            check(users.isEmpty(), "", "Keys still belong to it: ${listed(users)}.", "Delete these keys as well.")
+        }.mistakes
+
+    private fun listed(objects: List<CatalogObject>): String =
+        objects.take(3).joinToString { it.name } + if (objects.size > 3) " and ${objects.size - 3} more" else ""
+
+    private fun MistakeCollector.check(value: CatalogObject, before: DefaultCatalogView, after: DefaultCatalogView) {
+        name("name", value.name)
+        labels(value.labels)
+        when (value) {
+            is Workspace -> range("weight", value.weight, 1..MAX_WEIGHT)
+            is ApiKey -> key(value, before, after)
+            is Deployment -> deployment(value)
+            is Pool -> pool(value)
+            is BackendServer -> server(value)
+            is PlainService -> service(value)
+            is Limit -> limit(value)
+        }
+    }
+
+    private fun MistakeCollector.name(path: String, name: String) = check(
+        name.length <= MAX_NAME_LENGTH && NAME.matches(name),
+        path,
+        "\"$name\" is no name.",
+        "Use up to $MAX_NAME_LENGTH lower-case letters, digits, \"-\", \"_\" and \".\"; begin and end with a letter or digit.",
+    )
+
+    private fun MistakeCollector.labels(labels: Map<String, String>) {
+        check(labels.size <= MAX_LABELS, "labels", "${labels.size} labels.", "Keep at most $MAX_LABELS.")
+        labels.forEach { (key, value) ->
+            check(key.isNotEmpty() && isLabel(key), "labels.$key", "This is no label key.", LABEL_REMEDY)
+            check(isLabel(value), "labels.$key", "\"$value\" is no label value.", LABEL_REMEDY)
+        }
+    }
+
+    private fun isLabel(text: String) = text.length <= MAX_LABEL_LENGTH && text.all(SelectorParser::isWordCharacter)
+
+    private fun MistakeCollector.key(key: ApiKey, before: DefaultCatalogView, after: DefaultCatalogView) {
+        val digestOk = key.digest.length == DIGEST_PATTERN_LENGTH && key.digest.all { it in '0'..'9' || it in 'a'..'f' }
+        check(digestOk, "digest", "This is no keyed digest.", "Issue keys with `ctl key issue`, which writes it.")
+        val workspace = key.workspace
+        check(
+            workspace == null || after.workspace(workspace) != null,
+            "workspace",
+            "There is no workspace \"$workspace\".",
+            "Create it in the same or an earlier change, or leave the field out for an operator's key.",
+        )
+        val old = before.key(key.name)
+        check(
+            old == null || !old.withdrawn || key.withdrawn,
+            "withdrawn",
+            "A withdrawn key can't be made valid again.",
+            "Issue a new key under another name.",
+        )
+        check(
+            old == null || old.workspace == key.workspace,
+            "workspace",
+            "A key can't move to another workspace.",
+            "Issue a new key there and withdraw this one.",
+        )
+        val namesake = before.keyByDigest(key.digest)
+        check(
+            namesake == null || namesake.name == key.name || after.key(namesake.name) == null,
+            "digest",
+            "The key \"${namesake?.name}\" has the same digest.",
+            "Issue a new key.",
+        )
+    }
+
+    private fun MistakeCollector.deployment(value: Deployment) {
+        check(value.model.isNotBlank(), "model", "No model is named.", "Name a model of the weight store.")
+        selector("pools", value.pools)
+        selector("workspaces", value.workspaces)
+        range("maxPromptTokens", value.maxPromptTokens, 1..MAX_TOKENS)
+        range("maxOutputTokens", value.maxOutputTokens, 1..MAX_TOKENS)
+        positive("firstTokenSeconds", value.firstTokenSeconds, MAX_SECONDS)
+        positive("betweenTokensMillis", value.betweenTokensMillis, MAX_MILLIS)
+    }
+
+    private fun MistakeCollector.pool(value: Pool) {
+        selector("servers", value.servers)
+        check(value.minServers >= 0, "minServers", "${value.minServers} is below 0.", "Use 0 or more.")
+        check(
+            value.maxServers >= value.minServers,
+            "maxServers",
+            "${value.maxServers} is below minServers, ${value.minServers}.",
+            "Raise maxServers or lower minServers.",
+        )
+        check(
+            value.maxCheapShare in 0.0..1.0,
+            "maxCheapShare",
+            "${value.maxCheapShare} is no share.",
+            "Use 0.0 to 1.0.",
+        )
+    }
+
+    private fun MistakeCollector.server(value: BackendServer) {
+        val port = value.address.substringAfterLast(':').toIntOrNull()
+        val addressOk = ADDRESS.matches(value.address) && port != null && port in 1..65_535
+        check(addressOk, "address", "\"${value.address}\" is no address.", "Write host:port.")
+        check(value.domain.isNotBlank(), "domain", "No failure domain is named.", "Name the server's failure domain.")
+        check(value.region.isNotBlank(), "region", "No region is named.", "Name the server's region.")
+    }
+
+    private fun MistakeCollector.service(value: PlainService) {
+        selector("servers", value.servers)
+        selector("workspaces", value.workspaces)
+        positive("timeoutSeconds", value.timeoutSeconds, MAX_SECONDS)
+        val unknown = value.onceMethods - METHODS
+        check(unknown.isEmpty(), "onceMethods", "$unknown are no methods.", "Use some of $METHODS.")
+    }
+
+    private fun MistakeCollector.limit(value: Limit) {
+        selector("workspaces", value.workspaces)
+        selector("deployments", value.deployments)
+        val tokens = value.tokensPerMinute
+        check(tokens == null || tokens > 0, "tokensPerMinute", "$tokens is not above 0.", "Use 1 or more.")
+        val requests = value.concurrentRequests
+        check(requests == null || requests > 0, "concurrentRequests", "$requests is not above 0.", "Use 1 or more.")
+    }
+
+    private const val LABEL_REMEDY = "Use up to $MAX_LABEL_LENGTH letters, digits and \"-_./\"."
+}
+
+/** Gathers the mistakes of one object. */
+private class MistakeCollector(private val ref: ObjectRef) {
+    val mistakes = mutableListOf<CatalogMistake>()
+
+    fun check(holds: Boolean, field: String, message: String, remedy: String) {
+        if (holds) return
+        val path = if (field.isEmpty()) "$ref" else "$ref.$field"
+        mistakes += CatalogMistake(path, message, remedy)
+    }
+
+    fun selector(field: String, text: String) {
+        val error = SelectorParser.parse(text).leftOrNull() ?: return
+        check(false, field, error.message, "Write requirements such as \"zone=a, tier in (x, y), !old\".")
+    }
+
+    fun range(field: String, value: Int, allowed: IntRange) =
+        check(value in allowed, field, "$value is out of range.", "Use ${allowed.first} to ${allowed.last}.")
+
+    fun positive(field: String, value: Double, most: Double) =
+        check(value > 0 && value <= most, field, "$value is out of range.", "Use more than 0 and at most $most.")
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/catalog/DefaultWithdrawalWatch.kt
@@ -0,0 +1,13 @@
+package org.persimmonrelay.catalog
+
+/** Answers from the view in force. */
+public class DefaultWithdrawalWatch(private val state: CatalogState) : WithdrawalWatch {
+    override fun stateOf(keyName: String): KeyState {
+        val key = state.current.key(keyName) ?: return KeyState.WITHDRAWN
+        return when {
+            key.cutRunning -> KeyState.CUT
+            key.withdrawn -> KeyState.WITHDRAWN
+            else -> KeyState.VALID
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/catalog/Selector.kt
@@ -0,0 +1,56 @@
+package org.persimmonrelay.catalog
+
+/** One requirement on labels. */
+public sealed interface Requirement {
+    public val key: String
+
+    /** True when [labels] meet the requirement. */
+    public fun matches(labels: Map<String, String>): Boolean
+
+    /** `key = value` */
+    public data class Equal(override val key: String, val value: String) : Requirement {
+        override fun matches(labels: Map<String, String>): Boolean = labels[key] == value
+    }
+
+    /** `key != value`; also met when the label is absent. */
+    public data class NotEqual(override val key: String, val value: String) : Requirement {
+        override fun matches(labels: Map<String, String>): Boolean = labels[key] != value
+    }
+
+    /** `key in (a, b)` */
+    public data class In(override val key: String, val values: Set<String>) : Requirement {
+        override fun matches(labels: Map<String, String>): Boolean = labels[key] in values
+    }
+
+    /** `key notin (a, b)`; also met when the label is absent. */
+    public data class NotIn(override val key: String, val values: Set<String>) : Requirement {
+        override fun matches(labels: Map<String, String>): Boolean = labels[key] !in values
+    }
+
+    /** `key` */
+    public data class Exists(override val key: String) : Requirement {
+        override fun matches(labels: Map<String, String>): Boolean = key in labels
+    }
+
+    /** `!key` */
+    public data class Absent(override val key: String) : Requirement {
+        override fun matches(labels: Map<String, String>): Boolean = key !in labels
+    }
+}
+
+/** A parsed selector: all of [requirements] must hold. Without any it picks every object. */
+public data class Selector(val requirements: List<Requirement>) {
+    public fun matches(labels: Map<String, String>): Boolean = requirements.all { it.matches(labels) }
+
+    public companion object {
+        /** Picks every object. */
+        public val ALL: Selector = Selector(emptyList())
+    }
+}
+
+/** Where a selector can't be read: [position] counts characters from 0. */
+public data class SelectorError(val text: String, val position: Int, val expected: String, val found: String) {
+    /** One line that names the place and the remedy. */
+    public val message: String
+        get() = "Selector \"$text\", character ${position + 1}: expected $expected but found $found."
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/catalog/SnapshotRepository.kt
@@ -0,0 +1,98 @@
+package org.persimmonrelay.catalog
+
+import arrow.core.Either
+import arrow.core.raise.either
+import org.persimmonrelay.platform.Condition
+import org.persimmonrelay.platform.ObjectStore
+import org.persimmonrelay.platform.StoreUnavailable
+import org.persimmonrelay.platform.TableService
+import org.persimmonrelay.platform.Transaction
+import org.persimmonrelay.platform.Write
+import org.persimmonrelay.timeline.EventSink
+import org.persimmonrelay.timeline.with
+import java.io.IOException
+
+/**
+ * Snapshots of the configuration in the object store, named by version, so that two nodes that write the same one
+ * write the same bytes' meaning. Change rows are removed only when they are well behind the oldest snapshot kept.
+ */
+public class SnapshotRepository(
+    private val objects: ObjectStore,
+    private val table: TableService,
+    private val state: CatalogState,
+    private val operations: OperationIds,
+    private val events: EventSink,
+    private val every: Long = DEFAULT_EVERY,
+) {
+    private var newestKnown = 0L
+
+    /** Adopts the newest readable snapshot after [version]; unavailable when there is none. */
+    public suspend fun loadNewerThan(version: Long): Either<StoreUnavailable, Unit> = either {
+        val names = objects.list(CatalogRows.SNAPSHOT_PREFIX).bind()
+        val newer = names.filter { (CatalogRows.versionIn(it) ?: 0) > version }.sortedDescending()
+        val snapshot = newer.firstNotNullOfOrNull { read(it).bind() }
+        val found = snapshot ?: raise(StoreUnavailable("No snapshot after version $version can be read; trying again."))
+        newestKnown = maxOf(newestKnown, found.version)
+        state.adopt(found)
+    }
+
+    /** Writes a snapshot of [view] when the last one is [every] versions back, and prunes what it makes redundant. */
+    public suspend fun writeIfDue(view: DefaultCatalogView) {
+        if (view.version - newestKnown < every) return
+        val result = either {
+            val names = objects.list(CatalogRows.SNAPSHOT_PREFIX).bind()
+            newestKnown = names.mapNotNull(CatalogRows::versionIn).maxOrNull() ?: 0
+            if (view.version - newestKnown < every) return@either
+            objects.put(CatalogRows.snapshot(view.version), encode(view)).bind()
+            newestKnown = view.version
+            events.record(CatalogEvent.SNAPSHOT_WRITTEN, "version" with view.version)
+            prune(names + CatalogRows.snapshot(view.version)).bind()
+        }
+        result.onLeft { events.record(CatalogEvent.SNAPSHOT_FAILED, "reason" with it.message) }
+    }
+
+    private fun encode(view: DefaultCatalogView): ByteArray = CatalogJson.encode(Snapshot(view.version, view.stored()))
+
+    private suspend fun read(name: String): Either<StoreUnavailable, Snapshot?> = objects.get(name).map { bytes ->
+        if (bytes == null) return@map null
+        try {
+            CatalogJson.decodeSnapshot(bytes)
+        } catch (e: IOException) {
+            unreadable(name, e)
+        } catch (e: IllegalArgumentException) {
+            unreadable(name, e)
+        }
+    }
+
+    private fun unreadable(name: String, cause: Exception): Snapshot? {
+        events.record(CatalogEvent.SNAPSHOT_FAILED, "name" with name, "reason" with cause.message)
+        return null
+    }
+
+    private suspend fun prune(names: List<String>): Either<StoreUnavailable, Unit> = either {
+        val newestFirst = names.sortedDescending()
+        if (newestFirst.size <= KEPT_SNAPSHOTS) return@either
+        newestFirst.drop(KEPT_SNAPSHOTS).forEach { objects.delete(it).bind() }
+        val oldestKept = CatalogRows.versionIn(newestFirst[KEPT_SNAPSHOTS - 1]) ?: return@either
+        pruneChangesBefore(oldestKept).bind()
+    }
+
+    private suspend fun pruneChangesBefore(version: Long): Either<StoreUnavailable, Unit> = either {
+        val rows = table.scan(CatalogRows.CHANGE_PREFIX, limit = PRUNED_AT_ONCE).bind()
+        val old = rows.filter { (CatalogRows.versionIn(it.key) ?: version) < version }
+        if (old.isEmpty()) return@either
+        val transaction = Transaction(
+            operation = operations.next(),
+            conditions = old.map { Condition.VersionIs(it.key, it.version) },
+            writes = old.map { Write.Delete(it.key) },
+        )
+        table.commit(transaction).bind()
+        if (old.size == PRUNED_AT_ONCE) pruneChangesBefore(version).bind()
+    }
+
+    private companion object {
+        const val DEFAULT_EVERY = 200L
+        const val KEPT_SNAPSHOTS = 3
+        const val PRUNED_AT_ONCE = 50
+    }
+}
