Let the entry route by expected time with fair shares

Cause: round robin starts everything at once, so neither deadlines nor shares nor backlogs count. Change: ExpectedTimeDispatcher holds requests in the node until an engine has room, orders workspaces by weighted consumption over all nodes, refuses before sending what can't be answered in time, retries within a budget and outside the failure domain that failed, and ejects outliers without emptying the pool. Conclusion: the entry can drive it through the same events as the naive dispatcher.

--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/fairness/FairShareSettings.kt
@@ -0,0 +1,12 @@
+package org.persimmonrelay.fairness
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Settings of weighted fair sharing.
+ *
+ * [summaryEntries] bounds the size of a message between nodes. [maxLeadSeconds] bounds, in engine seconds per
+ * unit of weight, how long past consumption is held against a workspace.
+ */
+@Serializable
+public data class FairShareSettings(val summaryEntries: Int = 32, val maxLeadSeconds: Double = 20.0)
--- a/src/main/kotlin/org/persimmonrelay/routing/Dispatch.kt
+++ b/src/main/kotlin/org/persimmonrelay/routing/Dispatch.kt
@@ -6,8 +6,10 @@
 package org.persimmonrelay.routing
 
 import org.persimmonrelay.catalog.BackendServer
+import org.persimmonrelay.catalog.Limit
 import org.persimmonrelay.clock.Moment
 import org.persimmonrelay.engine.LoadReport
+import org.persimmonrelay.fairness.ShareSummary
 import org.persimmonrelay.identity.RequestId
 import org.persimmonrelay.identity.ServerId
 import org.persimmonrelay.identity.WorkspaceId
@@ -23,6 +25,7 @@
     val prefixBlocks: LongArray,
     val priority: Int,
     val firstTokenBy: Moment,
+    val limits: List<Limit> = emptyList(),
 ) {
     override fun equals(other: Any?): Boolean = other is DispatchRequest && other.id == id
 
@@ -37,8 +40,18 @@
 
 /** What a dispatcher is told. */
 public sealed interface DispatchEvent {
-    /** A request arrived, or has to be placed again after a failed attempt. */
-    public data class Arrived(val request: DispatchRequest, val outputSoFar: Int = 0) : DispatchEvent
+    /**
+     * A request arrived, or has to be placed again after a failed attempt.
+     *
+     * [attempt] counts the earlier attempts that may have run, 0 for none; [failedServer] is where the last one
+     * failed. Only a request with no earlier attempt and no output is ever refused as not run.
+     */
+    public data class Arrived(
+        val request: DispatchRequest,
+        val outputSoFar: Int = 0,
+        val attempt: Int = 0,
+        val failedServer: ServerId? = null,
+    ) : DispatchEvent
 
     /** The engine produced [outputTokens] so far, of a prompt of which [cachedTokens] were found in its cache. */
     public data class Progressed(val id: RequestId, val outputTokens: Int, val cachedTokens: Int) : DispatchEvent
@@ -53,6 +66,9 @@
     /** The servers that may serve this deployment now; those absent or draining get no new work. */
     public data class ServersChanged(val servers: List<BackendServer>) : DispatchEvent
 
+    /** A peer told what workspaces used of this deployment through it. */
+    public data class PeerConsumed(val summary: ShareSummary) : DispatchEvent
+
     /** The moment asked for by [DispatchAction.WakeAt] has come. */
     public data object Woken : DispatchEvent
 }
@@ -63,6 +79,9 @@
 
     public data class Refuse(val id: RequestId, val refusal: Refusal.NotRun) : DispatchAction
 
+    /** No further attempt will be made for a request that may have run; the caller is told at once. */
+    public data class GiveUp(val id: RequestId, val refusal: Refusal.OutcomeUnknown) : DispatchAction
+
     public data class WakeAt(val moment: Moment) : DispatchAction
 }
 
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/routing/EnginePool.kt
@@ -0,0 +1,64 @@
+package org.persimmonrelay.routing
+
+import org.persimmonrelay.catalog.BackendServer
+import org.persimmonrelay.clock.Moment
+import org.persimmonrelay.engine.LoadReport
+import org.persimmonrelay.identity.ServerId
+
+/** The engines that may serve a deployment, as this node sees them. Not thread-safe. */
+internal class EnginePool(private val settings: RoutingSettings, private val outliers: OutlierDetector) {
+    private val engines = HashMap<ServerId, EngineEstimate>()
+    private val domains = HashMap<ServerId, String>()
+    private var prefilling: List<EngineEstimate> = emptyList()
+    private var decodingByDomain: Map<String, List<EngineEstimate>> = emptyMap()
+
+    /** Engines that read prompts and take new work, ejected ones included. */
+    val prefillers: List<EngineEstimate>
+        get() = prefilling
+
+    val isEmpty: Boolean
+        get() = prefilling.isEmpty()
+
+    fun decoders(domain: String): List<EngineEstimate> = decodingByDomain[domain] ?: emptyList()
+
+    fun engine(id: ServerId): EngineEstimate? = engines[id]
+
+    /** Failure domain of a present or former engine. */
+    fun domainOf(id: ServerId): String? = domains[id]
+
+    fun usable(engine: EngineEstimate, now: Moment): Boolean = !outliers.isEjected(engine.id, now)
+
+    fun hasPrefillRoom(now: Moment): Boolean = prefilling.any { it.hasPrefillRoom(now) && usable(it, now) }
+
+    fun serversAre(servers: List<BackendServer>) {
+        val names = servers.mapTo(HashSet()) { ServerId(it.name) }
+        engines.keys.retainAll(names)
+        servers.forEach { server ->
+            val id = ServerId(server.name)
+            domains[id] = server.domain
+            engines.getOrPut(id) { EngineEstimate(server, settings) }.server = server
+        }
+        if (domains.size > MAX_FORMER * (engines.size + 1)) domains.keys.retainAll(names)
+        outliers.poolIs(names)
+        regroup()
+    }
+
+    fun reported(report: LoadReport, now: Moment) {
+        val engine = engines[report.server] ?: return
+        val role = engine.role
+        val draining = engine.draining
+        engine.reported(report, now)
+        if (engine.role != role || engine.draining != draining) regroup()
+    }
+
+    private fun regroup() {
+        val open = engines.values.filterNot { it.draining }.sortedBy { it.server.name }
+        decodingByDomain = open.filter { it.canDecode() }.groupBy { it.server.domain }
+        prefilling = open.filter { it.canPrefill() && it.server.domain in decodingByDomain }
+    }
+
+    private companion object {
+        /** Former engines whose domain is kept, per present engine. */
+        const val MAX_FORMER = 4
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/routing/ExpectedTimeDispatcher.kt
@@ -0,0 +1,237 @@
+/*
+ * Routing, admission and fair queueing of one deployment on one node. Requests wait here rather than in the
+ * engines, so that the order can still follow fair shares and deadlines, and start when an engine has room.
+ * A request that can't make its deadline is refused at once, before it is sent anywhere; one that was ever
+ * sent is never refused as not run.
+ */
+package org.persimmonrelay.routing
+
+import org.persimmonrelay.clock.Moment
+import org.persimmonrelay.fairness.FairShareLedger
+import org.persimmonrelay.fairness.LimitManager
+import org.persimmonrelay.fairness.ShareSummary
+import org.persimmonrelay.identity.RequestId
+import org.persimmonrelay.identity.ServerId
+import org.persimmonrelay.outcome.NotRunReason
+import org.persimmonrelay.outcome.Refusal
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+/**
+ * Dispatches by expected time to first token. [ledger] may be read by its owner for summaries to peers; both
+ * are to be used by one thread.
+ */
+public class ExpectedTimeDispatcher(
+    private val settings: RoutingSettings,
+    private val random: Random,
+    public val ledger: FairShareLedger = FairShareLedger(),
+) : Dispatcher {
+    private val profile = settings.engine
+    private val outliers = OutlierDetector(settings.outlier)
+    private val pool = EnginePool(settings, outliers)
+    private val prefixes = PrefixDirectory()
+    private val chooser = PlacementChooser(settings, pool, prefixes, random)
+    private val queue = WaitingQueue(ledger)
+    private val admission = AdmissionController(queue, ledger, random)
+    private val retries = RetryBudget(settings.retry, random)
+    private val limits = LimitManager()
+    private val outputs = OutputEstimator()
+    private val running = HashMap<RequestId, RunningAttempt>()
+    private var sequence = 0L
+    private var wakeAt: Moment? = null
+
+    /** Requests that wait here. */
+    public val waitingRequests: Int
+        get() = queue.size
+
+    override fun on(event: DispatchEvent, now: Moment): List<DispatchAction> {
+        val actions = ArrayList<DispatchAction>(2)
+        admission.elapsed(!queue.isEmpty, now)
+        take(event, now, actions)
+        if (!queue.isEmpty) advance(now, actions)
+        return actions
+    }
+
+    private fun take(event: DispatchEvent, now: Moment, actions: MutableList<DispatchAction>) {
+        when (event) {
+            is DispatchEvent.Arrived -> arrived(event, now)?.let(actions::add)
+            is DispatchEvent.Progressed -> progressed(event, now)
+            is DispatchEvent.Ended -> ended(event, now)
+            is DispatchEvent.Withdrawn -> queue.remove(event.id)
+            is DispatchEvent.Reported -> pool.reported(event.report, now)
+            is DispatchEvent.ServersChanged -> pool.serversAre(event.servers)
+            is DispatchEvent.PeerConsumed -> peerConsumed(event.summary, now)
+            is DispatchEvent.Woken -> wakeAt = null
+        }
+    }
+
+    private fun arrived(event: DispatchEvent.Arrived, now: Moment): DispatchAction? {
+        val request = event.request
+        if (event.attempt > 0 || event.outputSoFar > 0) return arrivedAgain(event, now)
+        val refusal = refusal(request, now)
+        if (refusal != null) return DispatchAction.Refuse(request.id, refusal)
+        queue.add(waiting(event, null, now, latestStart(request)))
+        return null
+    }
+
+    private fun arrivedAgain(event: DispatchEvent.Arrived, now: Moment): DispatchAction? {
+        val request = event.request
+        running.remove(request.id)?.let { release(it, now) }
+        if (!retries.take(request.workspace, event.attempt)) return DispatchAction.GiveUp(request.id, GAVE_UP)
+        val notBefore = now + retries.backoff(event.attempt)
+        val avoid = event.failedServer?.let(pool::domainOf)
+        val giveUpAt = now + settings.retry.giveUpSeconds.seconds
+        queue.add(waiting(event, avoid, notBefore, giveUpAt))
+        return null
+    }
+
+    private fun refusal(request: DispatchRequest, now: Moment): Refusal.NotRun? {
+        if (pool.isEmpty) return NO_SERVER
+        val tokens = expectedTokens(request)
+        limits.check(request.workspace, request.limits, tokens, now)?.let { return it }
+        val allowed = (latestStart(request) - now).toDouble(DurationUnit.SECONDS)
+        if (allowed <= 0) return admission.late()
+        val overdue = admission.expectedWait(request.workspace, request.weight) - allowed
+        val full = queue.count(request.workspace) >= settings.maxWaitingPerWorkspace
+        return if (overdue > 0 || full) admission.overloaded(overdue) else null
+    }
+
+    private fun waiting(event: DispatchEvent.Arrived, avoid: String?, notBefore: Moment, end: Moment): Waiting {
+        val request = event.request
+        val expected = outputs.expected(request.workspace, request.maxOutputTokens)
+        val left = maxOf(1, expected - event.outputSoFar)
+        return Waiting(
+            request = request,
+            outputSoFar = event.outputSoFar,
+            attempt = event.attempt,
+            avoidDomain = avoid,
+            notBefore = notBefore,
+            giveUpAt = end,
+            expectedOutput = expected,
+            cost = profile.cost(request.promptTokens + event.outputSoFar, left),
+            sequence = sequence++,
+        )
+    }
+
+    /** The last moment at which an idle engine could still answer in time. */
+    private fun latestStart(request: DispatchRequest): Moment =
+        request.firstTokenBy - (request.promptTokens * profile.prefillCost + START_MARGIN_SECONDS).seconds
+
+    private fun advance(now: Moment, actions: MutableList<DispatchAction>) {
+        queue.expired(now).forEach { actions += ended(it) }
+        while (!queue.isEmpty && pool.hasPrefillRoom(now)) {
+            val found = nextStart(now) ?: break
+            actions += start(found.first, found.second, now)
+        }
+        wake(now)?.let(actions::add)
+    }
+
+    private fun ended(waiting: Waiting): DispatchAction = if (waiting.neverRan) {
+        DispatchAction.Refuse(waiting.request.id, admission.late())
+    } else {
+        DispatchAction.GiveUp(waiting.request.id, GAVE_UP)
+    }
+
+    private fun nextStart(now: Moment): Pair<Waiting, Choice>? =
+        ledger.order().take(MAX_TRIED).firstNotNullOfOrNull { workspace ->
+            val head = queue.head(workspace)?.takeIf { it.notBefore <= now }
+            head?.let { waiting -> chooser.choose(waiting, now)?.let { waiting to it } }
+        }
+
+    private fun start(waiting: Waiting, choice: Choice, now: Moment): DispatchAction {
+        val request = waiting.request
+        queue.remove(request.id)
+        if (waiting.attempt == 0) retries.started(request.workspace)
+        val attempt = RunningAttempt(waiting, choice.prefill, choice.decode, choice.cachedTokens)
+        running[request.id] = attempt
+        choice.prefill.prefillAdded(attempt.readTokens, now)
+        choice.decode.decodeAdded(waiting.kvTokens, now)
+        prefixes.sent(choice.prefill.id, request.prefixBlocks)
+        admission.started(waiting.cost)
+        ledger.started(request.workspace, request.weight, waiting.cost, expectedTokens(request))
+        limits.started(request.workspace, request.limits, expectedTokens(request), now)
+        return DispatchAction.Start(request.id, Placement(choice.prefill.id, choice.decode.id))
+    }
+
+    private fun progressed(event: DispatchEvent.Progressed, now: Moment) {
+        val attempt = running[event.id] ?: return
+        attempt.outputTokens = maxOf(attempt.outputTokens, event.outputTokens)
+        if (attempt.prefilled || event.outputTokens <= attempt.waiting.outputSoFar) return
+        attempt.prefilled = true
+        attempt.prefill.prefillRemoved(attempt.readTokens, now)
+        if (event.cachedTokens >= attempt.cachedTokens) return
+        val found = event.cachedTokens / profile.blockTokens
+        prefixes.corrected(attempt.prefill.id, attempt.waiting.request.prefixBlocks, found)
+    }
+
+    private fun ended(event: DispatchEvent.Ended, now: Moment) {
+        when (event.end) {
+            AttemptEnd.DONE -> outliers.succeeded(event.server)
+            AttemptEnd.ENGINE_FAILED -> engineFailed(event.server, now)
+            AttemptEnd.ENGINE_REFUSED, AttemptEnd.CANCELLED -> Unit
+        }
+        val attempt = running.remove(event.id) ?: return
+        release(attempt, now)
+        val request = attempt.waiting.request
+        if (event.end == AttemptEnd.DONE) {
+            outputs.observed(request.workspace, request.maxOutputTokens, attempt.outputTokens)
+        }
+    }
+
+    private fun engineFailed(server: ServerId, now: Moment) {
+        outliers.failed(server, now)
+        if (outliers.isEjected(server, now)) prefixes.forget(server)
+    }
+
+    private fun release(attempt: RunningAttempt, now: Moment) {
+        val waiting = attempt.waiting
+        val request = waiting.request
+        if (!attempt.prefilled) attempt.prefill.prefillRemoved(attempt.readTokens, now)
+        attempt.decode.decodeRemoved(waiting.kvTokens, now)
+        val written = maxOf(0, attempt.outputTokens - waiting.outputSoFar)
+        val read = if (attempt.prefilled) attempt.readTokens else 0
+        val actual = profile.cost(read, written)
+        val tokens = request.promptTokens + attempt.outputTokens - expectedTokens(request)
+        ledger.ended(request.workspace, actual - waiting.cost, tokens)
+        limits.ended(request.workspace, request.limits, tokens, now)
+    }
+
+    private fun peerConsumed(summary: ShareSummary, now: Moment) {
+        if (ledger.absorb(summary)) limits.absorb(summary, now)
+    }
+
+    private fun expectedTokens(request: DispatchRequest): Long =
+        request.promptTokens.toLong() + outputs.expected(request.workspace, request.maxOutputTokens)
+
+    /** Asks to be woken when a request expires or, at the latest, after a short time in which room may appear. */
+    private fun wake(now: Moment): DispatchAction? {
+        val end = queue.nextEnd() ?: return null
+        val next = minOf(end, now + POLL_MILLIS.milliseconds)
+        val asked = wakeAt
+        if (asked != null && asked > now && asked <= next) return null
+        wakeAt = next
+        return DispatchAction.WakeAt(next)
+    }
+
+    private companion object {
+        const val START_MARGIN_SECONDS = 0.1
+        const val POLL_MILLIS = 20
+
+        /** Workspaces whose first request is tried when that of the first one finds no room. */
+        const val MAX_TRIED = 8
+
+        val NO_SERVER =
+            Refusal.NotRun(
+                NotRunReason.NO_SERVER,
+                "No backend server of this deployment takes work now; try again after the given time.",
+                5.seconds,
+            )
+
+        val GAVE_UP =
+            Refusal.OutcomeUnknown(
+                "The engines failed during this request and it is not tried again; check its effect before repeating.",
+            )
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/routing/PrefixDirectory.kt
@@ -0,0 +1,74 @@
+/*
+ * What this node believes of the engines' prefix caches. A request's prefix goes to the engine that rendezvous
+ * hashing picks, so all nodes agree without talking. What was sent where is remembered as a hint; engines
+ * say with the first token how much they found, which corrects the hint.
+ */
+package org.persimmonrelay.routing
+
+import org.persimmonrelay.identity.ServerId
+
+/** Prefix blocks by engine, bounded in size. Not thread-safe. */
+internal class PrefixDirectory(private val maxBlocks: Int = DEFAULT_MAX_BLOCKS) {
+    private val holders =
+        object : LinkedHashMap<Long, MutableSet<ServerId>>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
+            override fun removeEldestEntry(eldest: MutableMap.MutableEntry<Long, MutableSet<ServerId>>): Boolean =
+                size > maxBlocks
+        }
+
+    /** Count of leading [blocks] that [server] probably holds. */
+    fun held(server: ServerId, blocks: LongArray): Int {
+        for (index in blocks.indices) {
+            val known = holders[blocks[index]] ?: return index
+            if (server !in known) return index
+        }
+        return blocks.size
+    }
+
+    fun sent(server: ServerId, blocks: LongArray) {
+        for (block in blocks) holders.getOrPut(block) { LinkedHashSet(2) } += server
+    }
+
+    /** [server] found only the first [found] of [blocks] and holds them all now. Claims on it were too high. */
+    fun corrected(server: ServerId, blocks: LongArray, found: Int) {
+        for (index in found until blocks.size) holders[blocks[index]]?.remove(server)
+        sent(server, blocks)
+    }
+
+    fun forget(server: ServerId) {
+        holders.values.forEach { it.remove(server) }
+    }
+
+    /** The engine of [candidates] on which all nodes gather requests that share the first blocks. */
+    fun affinity(candidates: List<EngineEstimate>, blocks: LongArray): EngineEstimate? {
+        if (blocks.isEmpty() || candidates.isEmpty()) return null
+        val key = blocks[minOf(blocks.size, AFFINITY_BLOCKS) - 1]
+        var best = candidates[0]
+        var bestScore = mix(key xor best.seed)
+        for (index in 1 until candidates.size) {
+            val score = mix(key xor candidates[index].seed)
+            if (score > bestScore) {
+                best = candidates[index]
+                bestScore = score
+            }
+        }
+        return best
+    }
+
+    internal companion object {
+        /** Leading blocks that decide the affinity; deeper ones differ between requests that share a document. */
+        const val AFFINITY_BLOCKS = 4
+        const val DEFAULT_MAX_BLOCKS = 200_000
+        private const val INITIAL_CAPACITY = 1024
+        private const val LOAD_FACTOR = 0.75f
+        private const val MIX_1 = -0x61c8864680b583ebL
+        private const val MIX_2 = -0x4b47d0c5a44b7a55L
+        private const val SHIFT = 31
+
+        /** Spreads the bits of [value] evenly. */
+        fun mix(value: Long): Long {
+            var bits = value * MIX_1
+            bits = (bits xor (bits ushr SHIFT)) * MIX_2
+            return bits xor (bits ushr SHIFT)
+        }
+    }
+}
