--- a/src/main/kotlin/org/persimmonrelay/cli/CheckCommand.kt
+++ b/src/main/kotlin/org/persimmonrelay/cli/CheckCommand.kt
@@ -14,30 +14,21 @@
     @Option(name = "--json", usage = "one JSON line per mistake")
     private var json: Boolean = false
 
-    override fun run(
-        out: PrintStream,
-        err: PrintStream,
-    ): Int =
-        SettingsFile(file).read().fold(
-            { mistakes ->
-                mistakes.forEach { out.println(if (json) JsonLines.encode(MistakeLine.of(it)) else it) }
-                ExitCode.USAGE
-            },
-            {
-                if (!json) out.println("$file: no mistakes")
-                ExitCode.OK
-            },
-        )
+    override fun run(out: PrintStream, err: PrintStream): Int = SettingsFile(file).read().fold(
+        { mistakes ->
+            mistakes.forEach { out.println(if (json) JsonLines.encode(MistakeLine.of(it)) else it) }
+            ExitCode.USAGE
+        },
+        {
+            if (!json) out.println("$file: no mistakes")
+            ExitCode.OK
+        },
+    )
 }
 
 /** A mistake as `check --json` prints it. */
 @kotlinx.serialization.Serializable
-internal data class MistakeLine(
-    val path: String,
-    val value: String,
-    val expected: String,
-    val remedy: String,
-) {
+internal data class MistakeLine(val path: String, val value: String, val expected: String, val remedy: String) {
     companion object {
         fun of(mistake: SettingsMistake) = MistakeLine(mistake.path, mistake.value, mistake.expected, mistake.remedy)
     }
--- a/src/main/kotlin/org/persimmonrelay/cli/CommandEntry.kt
+++ b/src/main/kotlin/org/persimmonrelay/cli/CommandEntry.kt
@@ -8,11 +8,7 @@
     public val summary: String,
     private val action: (List<String>, PrintStream, PrintStream) -> Int,
 ) {
-    public fun run(
-        args: List<String>,
-        out: PrintStream,
-        err: PrintStream,
-    ): Int = action(args, out, err)
+    public fun run(args: List<String>, out: PrintStream, err: PrintStream): Int = action(args, out, err)
 
     public companion object {
         /** Every command of the product. */
@@ -21,10 +17,7 @@
                 of("check", "report every mistake in a settings file", ::CheckCommand),
             )
 
-        private fun of(
-            name: String,
-            summary: String,
-            command: () -> Command,
-        ) = CommandEntry(name, summary) { args, out, err -> runParsed(name, command(), args, out, err) }
+        private fun of(name: String, summary: String, command: () -> Command) =
+            CommandEntry(name, summary) { args, out, err -> runParsed(name, command(), args, out, err) }
     }
 }
--- a/src/main/kotlin/org/persimmonrelay/cli/CommandLine.kt
+++ b/src/main/kotlin/org/persimmonrelay/cli/CommandLine.kt
@@ -6,14 +6,8 @@
 import java.io.PrintStream
 
 /** Finds the command named by the first argument, fills its options and runs it. */
-public class CommandLine(
-    private val commands: List<CommandEntry> = CommandEntry.ALL,
-) {
-    public fun run(
-        args: List<String>,
-        out: PrintStream,
-        err: PrintStream,
-    ): Int {
+public class CommandLine(private val commands: List<CommandEntry> = CommandEntry.ALL) {
+    public fun run(args: List<String>, out: PrintStream, err: PrintStream): Int {
         val name = args.firstOrNull()
         if (name == null || name in HELP_WORDS) return help(out)
         val entry = commands.firstOrNull { it.name == name } ?: return unknown(name, err)
@@ -29,10 +23,7 @@
         return ExitCode.OK
     }
 
-    private fun unknown(
-        name: String,
-        err: PrintStream,
-    ): Int {
+    private fun unknown(name: String, err: PrintStream): Int {
         val known = commands.joinToString { it.name }
         err.println("No command '$name'. Use one of: $known.")
         return ExitCode.USAGE
@@ -45,13 +36,7 @@
 }
 
 /** Fills [command]'s options from [args] and runs it; prints the options when they are wrong or asked for. */
-internal fun runParsed(
-    name: String,
-    command: Command,
-    args: List<String>,
-    out: PrintStream,
-    err: PrintStream,
-): Int {
+internal fun runParsed(name: String, command: Command, args: List<String>, out: PrintStream, err: PrintStream): Int {
     val parser = CmdLineParser(command, ParserProperties.defaults().withUsageWidth(USAGE_WIDTH))
     if ("--help" in args) {
         out.println("usage: persimmonrelay $name [OPTIONS]")
--- a/src/main/kotlin/org/persimmonrelay/cli/SettingsFile.kt
+++ b/src/main/kotlin/org/persimmonrelay/cli/SettingsFile.kt
@@ -9,10 +9,7 @@
 import java.io.IOException
 
 /** Reads a node's settings from a file. */
-internal class SettingsFile(
-    private val file: File,
-    private val parser: SettingsParser = SettingsParser(),
-) {
+internal class SettingsFile(private val file: File, private val parser: SettingsParser = SettingsParser()) {
     fun read(): Either<List<SettingsMistake>, NodeSettings> {
         val text =
             try {
--- a/src/main/kotlin/org/persimmonrelay/node/ControlThread.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/ControlThread.kt
@@ -12,9 +12,7 @@
  * The one thread that owns a node's control state. Coroutines of [scope] run on it, one at a time between
  * suspension points, so control code needs no locks.
  */
-public class ControlThread(
-    name: String,
-) : AutoCloseable {
+public class ControlThread(name: String) : AutoCloseable {
     private val executor = Executors.newSingleThreadExecutor { Thread(it, "control-$name").apply { isDaemon = true } }
 
     public val dispatcher: CoroutineDispatcher = executor.asCoroutineDispatcher()
--- a/src/main/kotlin/org/persimmonrelay/node/SecretReader.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/SecretReader.kt
@@ -8,14 +8,10 @@
 import java.io.IOException
 
 /** A secret that could not be read; [message] names the place, never the content. */
-public data class SecretFailure(
-    val message: String,
-)
+public data class SecretFailure(val message: String)
 
 /** Reads secrets from the places that settings name. */
-public class SecretReader(
-    private val environment: (String) -> String? = System::getenv,
-) {
+public class SecretReader(private val environment: (String) -> String? = System::getenv) {
     public fun read(source: SecretSource): Either<SecretFailure, ByteArray> {
         val text = fromFile(source.file) ?: source.environment?.let(environment)
         val secret = text?.trim().orEmpty()
@@ -23,12 +19,11 @@
         return secret.toByteArray().right()
     }
 
-    private fun fromFile(path: String?): String? =
-        try {
-            path?.let { File(it).readText() }
-        } catch (_: IOException) {
-            null
-        }
+    private fun fromFile(path: String?): String? = try {
+        path?.let { File(it).readText() }
+    } catch (_: IOException) {
+        null
+    }
 
     private fun remedy(source: SecretSource): String {
         val place = source.file?.let { "file $it" } ?: "environment variable ${source.environment}"
