--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/timeline/EventArea.kt
@@ -0,0 +1,31 @@
+package org.persimmonrelay.timeline
+
+/** The part of the product that an event comes from: one package, one range of a hundred numbers from [first]. */
+public enum class EventArea(public val first: Int, public val label: String) {
+    NODE(1000, "node"),
+    ENTRY(1100, "entry"),
+    ADMIN(1200, "admin"),
+    CATALOG(1300, "catalog"),
+    LEASE(1400, "lease"),
+    FLEET(1500, "fleet"),
+    ONCE(1600, "once"),
+    USAGE(1700, "usage"),
+    MEMBERSHIP(1800, "membership"),
+    PEER(1900, "peer"),
+    PLATFORM(2000, "platform"),
+    ENGINE(2100, "engine"),
+    ROUTING(2200, "routing"),
+    FAIRNESS(2300, "fairness"),
+    SETTINGS(2400, "settings"),
+    ;
+
+    /** The event numbers of this area. */
+    public val numbers: IntRange get() = first until first + RANGE
+
+    public companion object {
+        private const val RANGE = 100
+
+        /** The area that [number] belongs to. */
+        public fun of(number: Int): EventArea? = entries.firstOrNull { number in it.numbers }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/timeline/TimelineRing.kt
@@ -0,0 +1,58 @@
+package org.persimmonrelay.timeline
+
+import net.logstash.logback.argument.StructuredArguments.kv
+import org.persimmonrelay.clock.Clock
+import org.persimmonrelay.identity.Incarnation
+import org.persimmonrelay.identity.NodeId
+import org.slf4j.LoggerFactory
+
+/** A node's events as far as its ring still holds them; [overwritten] older ones are gone. */
+public data class TimelineExcerpt(val entries: List<TimelineEntry>, val overwritten: Long)
+
+/**
+ * The latest [capacity] events of this node. Each event is also logged with its number and fields as
+ * structured arguments. Thread-safe.
+ */
+public class TimelineRing(
+    private val node: NodeId,
+    private val incarnation: Incarnation,
+    private val capacity: Int,
+    private val clock: Clock,
+    private val hybridClock: HybridClock = HybridClock(),
+) : EventSink {
+    private val entries = ArrayDeque<TimelineEntry>()
+    private var sequence = 0L
+
+    override fun record(code: EventCode, vararg fields: EventField) {
+        keep(code, fields.toList())
+        val arguments =
+            arrayOf(
+                kv("event", code.name),
+                kv("number", code.number),
+                *fields.map {
+                    kv(it.name, it.value)
+                }.toTypedArray(),
+            )
+        LOGGER.info(code.summary + " {}".repeat(arguments.size), *arguments)
+    }
+
+    /** Events after [sequence], oldest first, at most [limit]. */
+    @Synchronized
+    public fun after(sequence: Long, limit: Int): TimelineExcerpt {
+        val oldest = entries.firstOrNull()?.sequence ?: (this.sequence + 1)
+        val found = entries.asSequence().dropWhile { it.sequence <= sequence }.take(limit).toList()
+        return TimelineExcerpt(found, maxOf(0, oldest - 1 - sequence))
+    }
+
+    @Synchronized
+    private fun keep(code: EventCode, fields: List<EventField>) {
+        sequence++
+        val at = hybridClock.tick(clock.wallMillis())
+        entries += TimelineEntry(at, node, incarnation, sequence, code.number, code.name, code.summary, fields)
+        if (entries.size > capacity) entries.removeFirst()
+    }
+
+    private companion object {
+        val LOGGER = LoggerFactory.getLogger("org.persimmonrelay.events")
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/persimmonrelay/timeline/EventCatalogueTest.kt
@@ -0,0 +1,48 @@
+package org.persimmonrelay.timeline
+
+import com.tngtech.archunit.core.domain.JavaClass
+import com.tngtech.archunit.core.importer.ClassFileImporter
+import com.tngtech.archunit.core.importer.ImportOption
+import java.io.File
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class EventCatalogueTest {
+    private val page = File("docs/EVENTS.md")
+
+    @Test
+    fun `every event has its own number in its package's range`() {
+        assertEquals(emptyList(), EventCatalogue.mistakes(codes()))
+    }
+
+    @Test
+    fun `the page lists exactly the events of the code`() {
+        val rendered = EventCatalogue.render(codes())
+        if (System.getProperty("writeEvents") == "true") page.writeText(rendered)
+
+        assertEquals(rendered, page.readText(), "docs/EVENTS.md is stale; run the command in its head.")
+    }
+
+    @Test
+    fun `a number used twice or out of range is a mistake`() {
+        val mistakes = EventCatalogue.mistakes(Misnumbered.entries)
+
+        assertEquals(3, mistakes.size)
+        assertTrue(mistakes.any { "1901 is used by" in it })
+    }
+
+    private fun codes(): List<EventCode> = ClassFileImporter()
+        .withImportOption(ImportOption.DoNotIncludeTests())
+        .importPackages("org.persimmonrelay")
+        .filter { it.isEnum && it.isAssignableTo(EventCode::class.java) }
+        .flatMap(::constants)
+
+    private fun constants(type: JavaClass): List<EventCode> =
+        Class.forName(type.name).enumConstants.filterIsInstance<EventCode>()
+
+    private enum class Misnumbered(override val number: Int, override val summary: String) : EventCode {
+        FIRST(1901, "one"),
+        SECOND(1901, "two"),
+    }
+}
