Let routing alone decide on retries and on giving up

Cause: routing and the entry each had a retry budget; a dispatcher's GiveUp had no taker. Change: the gate passes attempts that may have run and the server that failed; the entry's budget is gone.

--- a/src/main/kotlin/org/persimmonrelay/entry/AnswerRelay.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/AnswerRelay.kt
@@ -22,6 +22,7 @@
 import org.persimmonrelay.identity.ServerId
 import org.persimmonrelay.outcome.Refusal
 import org.persimmonrelay.routing.AttemptEnd
+import org.persimmonrelay.routing.DispatchEvent
 import org.persimmonrelay.routing.Placement
 import org.persimmonrelay.timeline.EventSink
 import org.persimmonrelay.timeline.with
@@ -45,21 +46,25 @@
     private inner class Run(private val job: AnswerJob, private val out: SendChannel<AnswerEvent>) {
         private val assembler = AnswerAssembler()
         private var attempt = 0
-        private var mayHaveRun = false
+        private var attemptsThatMayHaveRun = 0
+        private var failedServer: ServerId? = null
         private var reported = 0
 
         suspend fun start() {
-            job.gate.retries.earn()
             while (true) {
-                val placement =
-                    job.gate.place(job.dispatch, assembler.nextOffset).getOrElse { return out.send(failed(it)) }
+                val placement = job.gate.place(arrival()).getOrElse { return out.send(failed(it)) }
                 if (!job.beginRunning()) return job.gate.ended(job.dispatch.id, placement.decode, AttemptEnd.CANCELLED)
                 val failure = attempt(placement) ?: return
-                if (!mayRetry()) return out.send(givenUp(failure))
+                if (attempt >= maxAttempts) return out.send(givenUp(failure))
             }
         }
 
-        private fun mayRetry() = attempt < maxAttempts && job.gate.retries.take()
+        private fun arrival() = DispatchEvent.Arrived(
+            request = job.dispatch,
+            outputSoFar = assembler.nextOffset,
+            attempt = attemptsThatMayHaveRun,
+            failedServer = failedServer,
+        )
 
         private suspend fun attempt(placement: Placement): EngineFailure? {
             attempt++
@@ -85,7 +90,8 @@
         }
 
         private fun note(server: ServerId, failure: EngineFailure) {
-            if (failure !is EngineFailure.NotSent) mayHaveRun = true
+            failedServer = server
+            if (failure !is EngineFailure.NotSent) attemptsThatMayHaveRun++
             events.record(
                 EntryEvent.ATTEMPT_FAILED,
                 "request" with job.dispatch.id,
@@ -171,8 +177,8 @@
             job.gate.progressed(job.dispatch.id, assembler.nextOffset, cachedTokens)
         }
 
-        private fun failed(refusal: Refusal.NotRun): AnswerEvent.Failed {
-            if (!mayHaveRun) return AnswerEvent.Failed(refusal)
+        private fun failed(refusal: Refusal): AnswerEvent.Failed {
+            if (attemptsThatMayHaveRun == 0 || refusal is Refusal.OutcomeUnknown) return AnswerEvent.Failed(refusal)
             return AnswerEvent.Failed(Refusal.OutcomeUnknown("The answer broke off: ${refusal.message}"))
         }
 
--- a/src/main/kotlin/org/persimmonrelay/entry/DispatchGate.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/DispatchGate.kt
@@ -24,11 +24,10 @@
 import org.persimmonrelay.routing.AttemptEnd
 import org.persimmonrelay.routing.DispatchAction
 import org.persimmonrelay.routing.DispatchEvent
-import org.persimmonrelay.routing.DispatchRequest
 import org.persimmonrelay.routing.Dispatcher
 import org.persimmonrelay.routing.Placement
 
-private typealias Placing = Either<Refusal.NotRun, Placement>
+private typealias Placing = Either<Refusal, Placement>
 
 /** Serialises one [dispatcher]. Thread-safe; its timer runs in [scope]. */
 public class DispatchGate(
@@ -42,9 +41,6 @@
     private var wakeAt: Moment? = null
     private var running = 0
 
-    /** Retries that this deployment allows. */
-    public val retries: RetryBudget = RetryBudget()
-
     @Volatile
     private var addresses: Map<ServerId, EngineAddress> = emptyMap()
 
@@ -54,11 +50,15 @@
     /** True when no request waits or runs. */
     public val isIdle: Boolean get() = synchronized(lock) { waiting.isEmpty() && running == 0 }
 
-    /** Waits until the dispatcher places or refuses [request]. Cancelling withdraws it. */
-    public suspend fun place(request: DispatchRequest, outputSoFar: Int): Either<Refusal.NotRun, Placement> {
+    /**
+     * Waits until the dispatcher places or refuses the request of [arrival], or gives up on it. Cancelling
+     * withdraws it.
+     */
+    public suspend fun place(arrival: DispatchEvent.Arrived): Either<Refusal, Placement> {
+        val request = arrival.request
         val answer = CompletableDeferred<Placing>()
         synchronized(lock) { waiting[request.id] = answer }
-        on(DispatchEvent.Arrived(request, outputSoFar))
+        on(arrival)
         return try {
             answer.await()
         } catch (e: CancellationException) {
@@ -102,6 +102,7 @@
         when (action) {
             is DispatchAction.Start -> start(action)
             is DispatchAction.Refuse -> waiting.remove(action.id)?.complete(action.refusal.left())
+            is DispatchAction.GiveUp -> waiting.remove(action.id)?.complete(action.refusal.left())
             is DispatchAction.WakeAt -> schedule(action.moment)
         }
     }
