--- a/src/main/kotlin/org/persimmonrelay/catalog/CatalogFollower.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/CatalogFollower.kt
@@ -69,9 +69,7 @@
             delay(ASK_EVERY)
             noteReady()
             noteFreshness()
-            if (isStoreConfirmed()) continue
-            val member = pickMember() ?: continue
-            scope.launch { peers.ask(member) }
+            if (!isStoreConfirmed()) pickMember()?.let { scope.launch { peers.ask(it) } }
         }
     }
 
--- a/src/main/kotlin/org/persimmonrelay/catalog/CatalogRepository.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/CatalogRepository.kt
@@ -35,11 +35,7 @@
     private val events: EventSink,
 ) {
     /** Brings [state] to the newest stored version, and returns that version. */
-    public suspend fun catchUp(): Either<StoreUnavailable, Long> = either {
-        val head = readHead().bind().version
-        adoptUpTo(head).bind()
-        head
-    }
+    public suspend fun catchUp(): Either<StoreUnavailable, Long> = adoptNewest().map { it.version }
 
     /** What [version] changed, or null when there is no such version or its row was pruned. */
     public suspend fun deltaOf(version: Long): Either<StoreUnavailable, Delta?> =
@@ -59,8 +55,7 @@
     }
 
     private suspend fun attempt(request: ChangeRequest): Attempt {
-        val head = readHead().fold({ return failed(it) }, { it })
-        adoptUpTo(head.version).onLeft { return failed(it) }
+        val head = adoptNewest().fold({ return failed(it) }, { it })
         val view = state.current
         if (view.version != head.version) return Attempt.Raced
         val changes = either { changesFor(request, view) }.fold({ return Attempt.Done(it.left()) }, { it })
@@ -116,6 +111,12 @@
         return Attempt.Done(ChangeResult.Stored(delta.version, delta.operation, delta).right())
     }
 
+    private suspend fun adoptNewest(): Either<StoreUnavailable, HeadRow> = either {
+        val head = readHead().bind()
+        adoptUpTo(head.version).bind()
+        head
+    }
+
     private suspend fun adoptUpTo(head: Long): Either<StoreUnavailable, Unit> = either {
         while (state.current.version < head) {
             val before = state.current.version
--- a/src/main/kotlin/org/persimmonrelay/catalog/CatalogValidator.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/CatalogValidator.kt
@@ -4,6 +4,8 @@
 public object CatalogValidator {
     private const val MAX_NAME_LENGTH = 63
     private const val MAX_LABELS = 32
+    private const val MAX_LISTED = 3
+    private const val MAX_PORT = 65_535
     private const val MAX_LABEL_LENGTH = 63
     private const val MAX_WEIGHT = 10_000
     private const val MAX_SECONDS = 3_600.0
@@ -39,7 +41,7 @@
         }.mistakes
 
     private fun listed(objects: List<CatalogObject>): String =
-        objects.take(3).joinToString { it.name } + if (objects.size > 3) " and ${objects.size - 3} more" else ""
+        objects.take(MAX_LISTED).joinToString { it.name } + if (objects.size > MAX_LISTED) ", …" else ""
 
     private fun MistakeCollector.check(value: CatalogObject, before: DefaultCatalogView, after: DefaultCatalogView) {
         name("name", value.name)
@@ -59,7 +61,8 @@
         name.length <= MAX_NAME_LENGTH && NAME.matches(name),
         path,
         "\"$name\" is no name.",
-        "Use up to $MAX_NAME_LENGTH lower-case letters, digits, \"-\", \"_\" and \".\"; begin and end with a letter or digit.",
+        "Use up to $MAX_NAME_LENGTH lower-case letters, digits, \"-\", \"_\" and \".\", " +
+            "the first and last being a letter or digit.",
     )
 
     private fun MistakeCollector.labels(labels: Map<String, String>) {
@@ -133,7 +136,7 @@
 
     private fun MistakeCollector.server(value: BackendServer) {
         val port = value.address.substringAfterLast(':').toIntOrNull()
-        val addressOk = ADDRESS.matches(value.address) && port != null && port in 1..65_535
+        val addressOk = ADDRESS.matches(value.address) && port != null && port in 1..MAX_PORT
         check(addressOk, "address", "\"${value.address}\" is no address.", "Write host:port.")
         check(value.domain.isNotBlank(), "domain", "No failure domain is named.", "Name the server's failure domain.")
         check(value.region.isNotBlank(), "region", "No region is named.", "Name the server's region.")
--- a/src/main/kotlin/org/persimmonrelay/catalog/ChangeFailure.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/ChangeFailure.kt
@@ -32,8 +32,8 @@
     /** Nothing was stored, as the table service gave no answer before anything was sent. */
     public data class Unavailable(override val message: String) : ChangeFailure {
         override val remedy: String =
-            "Nothing was changed; repeat it when the table service answers. To shut out a caller now, stop its traffic " +
-                "at the platform's balancer."
+            "Nothing was changed; repeat it when the table service answers. To shut out a caller now, stop its " +
+                "traffic at the platform's balancer."
     }
 
     /** The change may or may not be stored as [version]. */
--- a/src/main/kotlin/org/persimmonrelay/catalog/KindIndex.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/KindIndex.kt
@@ -14,7 +14,7 @@
  */
 internal class KindIndex<T : CatalogObject> private constructor(
     private val byName: PersistentMap<String, Versioned<T>>,
-    private val sortedOrNull: List<T>?,
+    sortedOrNull: List<T>?,
     carried: Map<String, Selection<T>>,
 ) {
     private val selections = ConcurrentHashMap(carried)
@@ -22,9 +22,6 @@
     /** All objects by name. */
     val sorted: List<T> by lazy { sortedOrNull ?: byName.values.map { it.value }.sortedBy { it.name } }
 
-    private val sortedIfKnown: List<T>?
-        get() = sortedOrNull
-
     val size: Int
         get() = byName.size
 
--- a/src/main/kotlin/org/persimmonrelay/catalog/SelectorParser.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/SelectorParser.kt
@@ -2,7 +2,8 @@
  * Reads label selectors:
  *
  *     selector    = [ requirement { "," requirement } ]
- *     requirement = "!" key | key | key ("=" | "==" | "!=") [ value ] | key ("in" | "notin") "(" value { "," value } ")"
+ *     requirement = key | "!" key | key ("=" | "==" | "!=") [ value ] | key ("in" | "notin") set
+ *     set         = "(" value { "," value } ")"
  *
  * Keys and values consist of letters, digits and `-_./`. Blanks may stand between any two parts.
  */
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/cli/ctl/ObjectDetails.kt
@@ -0,0 +1,45 @@
+package org.persimmonrelay.cli.ctl
+
+import org.persimmonrelay.catalog.ApiKey
+import org.persimmonrelay.catalog.BackendServer
+import org.persimmonrelay.catalog.CatalogObject
+import org.persimmonrelay.catalog.Deployment
+import org.persimmonrelay.catalog.Limit
+import org.persimmonrelay.catalog.PlainService
+import org.persimmonrelay.catalog.Pool
+import org.persimmonrelay.catalog.Workspace
+
+/** The fields of an object that an operator looks for in a list. */
+internal object ObjectDetails {
+    fun of(value: CatalogObject): String = when (value) {
+        is Workspace -> "weight ${value.weight}"
+        is ApiKey -> key(value)
+        is Deployment -> "model ${value.model}, pools \"${value.pools}\""
+        is Pool -> "servers \"${value.servers}\""
+        is BackendServer -> server(value)
+        is PlainService -> "servers \"${value.servers}\"" + if (value.open) ", open" else ""
+        is Limit -> limit(value)
+    }
+
+    private fun key(key: ApiKey): String {
+        val owner = key.workspace?.let { "workspace $it" } ?: "operator"
+        val state = if (key.cutRunning) {
+            "withdrawn, cut"
+        } else if (key.withdrawn) {
+            "withdrawn"
+        } else {
+            "valid"
+        }
+        return "$owner, $state"
+    }
+
+    private fun server(server: BackendServer): String {
+        val drain = if (server.drain) ", draining" else ""
+        return "${server.address}, ${server.domain}, ${server.price.name.lowercase()}$drain"
+    }
+
+    private fun limit(limit: Limit): String = listOfNotNull(
+        limit.tokensPerMinute?.let { "$it tokens a minute" },
+        limit.concurrentRequests?.let { "$it requests at once" },
+    ).joinToString()
+}
--- /dev/null
+++ b/src/test/kotlin/org/persimmonrelay/admin/AdminServerTest.kt
@@ -0,0 +1,160 @@
+package org.persimmonrelay.admin
+
+import io.ktor.server.application.plugin
+import io.ktor.server.routing.RoutingRoot
+import io.ktor.server.routing.getAllRoutes
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonObject
+import org.persimmonrelay.catalog.CatalogJson
+import org.persimmonrelay.catalog.ObjectKind
+import org.persimmonrelay.catalog.ObjectRef
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class AdminServerTest {
+    private val harness = AdminHarness()
+    private val http = HttpClient.newHttpClient()
+
+    @AfterTest
+    fun stop() = harness.close()
+
+    @Test
+    fun `the description and the installed routes name the same calls`() {
+        val described = Json.parseToJsonElement(call("GET", "/openapi.json").body())
+            .jsonObject.getValue("paths").jsonObject
+            .flatMap { (path, calls) -> calls.jsonObject.keys.map { "${it.uppercase()} $path" } }
+            .toSet()
+
+        val root = harness.server.application.plugin(RoutingRoot)
+
+        assertEquals(described, root.getAllRoutes().map { installed(it.toString()) }.toSet())
+    }
+
+    @Test
+    fun `a request without an operator's key changes nothing`() {
+        val body = """{"weight":2}"""
+
+        val keyless = call("PUT", "/workspaces/a", body, key = null)
+        val wrong = call("PUT", "/workspaces/a", body, key = "pr_wrong")
+
+        assertEquals(listOf(401, 401), listOf(keyless.statusCode(), wrong.statusCode()))
+        assertEquals("unauthorized", error(keyless).code)
+        assertEquals(0, harness.catalog.state.current.version)
+    }
+
+    @Test
+    fun `a workspace's key is no operator's key, an operator's key is until it is withdrawn`() {
+        call("PUT", "/workspaces/a", "{}")
+        val ofWorkspace = secret(call("POST", "/keys/k1/issue", """{"workspace":"a"}"""))
+        val ofOperator = secret(call("POST", "/keys/k2/issue"))
+
+        assertEquals(403, call("GET", "/status", key = ofWorkspace).statusCode())
+        assertEquals(200, call("GET", "/status", key = ofOperator).statusCode())
+        call("POST", "/keys/k2/withdraw")
+
+        assertEquals(401, call("GET", "/status", key = ofOperator).statusCode())
+    }
+
+    @Test
+    fun `racing writers get a conflict that names the version to read`() {
+        call("PUT", "/workspaces/a", "{}")
+        call("PUT", "/workspaces/a", """{"weight":2}""", headers = mapOf("If-Match" to "\"1\""))
+
+        val late = call("PUT", "/workspaces/a", """{"weight":3}""", headers = mapOf("If-Match" to "\"1\""))
+        val taken = call("PUT", "/workspaces/a", """{"weight":3}""", headers = mapOf("If-None-Match" to "*"))
+
+        assertEquals(listOf(409, 409), listOf(late.statusCode(), taken.statusCode()))
+        assertEquals(2, error(late).version)
+    }
+
+    @Test
+    fun `an apply with one mistake changes nothing and lists all mistakes`() {
+        val body = """{"objects":[{"kind":"workspace","name":"ok"},{"kind":"pool","name":"p","servers":"in in"},
+            |{"kind":"workspace","name":"w","weight":0}]}
+        """.trimMargin()
+
+        val answer = call("POST", "/apply", body)
+
+        assertEquals(422, answer.statusCode())
+        assertEquals(listOf("pools/p.servers", "workspaces/w.weight"), error(answer).mistakes.map { it.path })
+        assertEquals(0, harness.catalog.state.current.version)
+    }
+
+    @Test
+    fun `labels are patched and selectors pick by them`() {
+        call("POST", "/apply", """{"objects":[{"kind":"workspace","name":"a"},{"kind":"workspace","name":"b"}]}""")
+
+        call("PATCH", "/workspaces/a/labels", """{"set":{"tier":"gold"}}""")
+        val picked = call("GET", "/workspaces?selector=tier%3Dgold").body()
+
+        val items = CatalogJson.stored.decodeFromString(ObjectList.serializer(), picked).items
+        assertEquals(listOf("a"), items.map { it.value.name })
+    }
+
+    @Test
+    fun `unreadable requests are refused and say what is wrong`() {
+        val unknownField = call("PUT", "/workspaces/a", """{"wieght":2}""")
+        val badSelector = call("GET", "/workspaces?selector=a%20in%20x")
+        val huge = call("POST", "/apply", " ".repeat(MAX_ADMIN_BODY_BYTES + 1))
+
+        assertEquals(listOf(400, 400, 413), listOf(unknownField, badSelector, huge).map { it.statusCode() })
+        assertTrue("wieght" in error(unknownField).message)
+        assertTrue("character 6" in error(badSelector).message)
+    }
+
+    @Test
+    fun `an outage of the table service refuses changes as not made`() {
+        harness.table.faults.down = true
+
+        val answer = call("PUT", "/workspaces/a", "{}")
+
+        assertEquals(503, answer.statusCode())
+        assertEquals("store_unavailable", error(answer).code)
+        assertNull(harness.catalog.state.current.find(ObjectRef(ObjectKind.WORKSPACE, "a")))
+    }
+
+    @Test
+    fun `the record of a change names its operation`() {
+        val stored = call("PUT", "/workspaces/a", "{}")
+        val change = CatalogJson.stored.decodeFromString(ChangeAnswer.serializer(), stored.body())
+
+        val record = call("GET", "/changes/1").body()
+
+        assertEquals(
+            change.operation,
+            CatalogJson.stored.decodeFromString(ChangeRecord.serializer(), record).operation,
+        )
+    }
+
+    private fun call(
+        method: String,
+        path: String,
+        body: String = "",
+        key: String? = AdminHarness.BOOTSTRAP_KEY,
+        headers: Map<String, String> = emptyMap(),
+    ): HttpResponse<String> {
+        val request = HttpRequest.newBuilder(URI("${harness.url}/admin/v1$path"))
+            .method(method, HttpRequest.BodyPublishers.ofString(body))
+        key?.let { request.header("Authorization", "Bearer $it") }
+        headers.forEach(request::header)
+        return http.send(request.build(), HttpResponse.BodyHandlers.ofString())
+    }
+
+    private fun error(answer: HttpResponse<String>): ErrorBody =
+        CatalogJson.stored.decodeFromString(ErrorAnswer.serializer(), answer.body()).error
+
+    private fun secret(answer: HttpResponse<String>): String =
+        CatalogJson.stored.decodeFromString(IssueAnswer.serializer(), answer.body()).secret
+
+    private fun installed(route: String): String {
+        val method = route.substringAfter("(method:").substringBefore(")")
+        return "$method ${route.substringBefore("/(method:")}"
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/persimmonrelay/catalog/CatalogRepositoryTest.kt
@@ -0,0 +1,135 @@
+package org.persimmonrelay.catalog
+
+import kotlinx.coroutines.test.runTest
+import org.persimmonrelay.platform.TableService
+import org.persimmonrelay.standin.StandInObjectStore
+import org.persimmonrelay.standin.StandInTable
+import org.persimmonrelay.timeline.EventSink
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+class CatalogRepositoryTest {
+    private val table = StandInTable()
+    private val objects = StandInObjectStore()
+
+    @Test
+    fun `versions follow each other and reach another node`() = runTest {
+        val one = Node(1)
+        val two = Node(2)
+
+        one.apply(Workspace("a"))
+        two.apply(Workspace("b"))
+        one.repository.catchUp()
+
+        assertEquals(listOf("a", "b"), one.state.current.objects.map { it.name })
+        assertEquals(2, one.state.current.version)
+    }
+
+    @Test
+    fun `a lost answer is settled as accepted`() = runTest {
+        val losing = LosingTable(table, lost = 1)
+
+        val result = Node(2, losing).apply(Workspace("a"))
+
+        assertEquals(1, assertIs<ChangeResult.Stored>(result.getOrNull()).version)
+        assertEquals(2, losing.commits)
+    }
+
+    @Test
+    fun `an outage during the commit leaves the outcome unknown and names the operation`() = runTest {
+        val losing = LosingTable(table, lost = 100)
+
+        val failure = assertIs<ChangeFailure.OutcomeUnknown>(Node(1, losing).apply(Workspace("a")).leftOrNull())
+
+        val stored = Node(2).repository.deltaOf(failure.version).getOrNull()
+        assertEquals(failure.operation, stored?.operation)
+    }
+
+    @Test
+    fun `a change during an outage is refused as not made`() = runTest {
+        table.faults.down = true
+
+        assertIs<ChangeFailure.Unavailable>(Node(1).apply(Workspace("a")).leftOrNull())
+        table.faults.down = false
+
+        assertEquals(0, Node(2).repository.catchUp().getOrNull())
+    }
+
+    @Test
+    fun `an expected version that has passed is a conflict that names the version to read`() = runTest {
+        val node = Node(1)
+        node.apply(Workspace("a"))
+        node.apply(Workspace("a", weight = 2))
+        val stale = ExpectedVersion(ObjectRef(ObjectKind.WORKSPACE, "a"), 1)
+
+        val byObject = node.apply(Workspace("a", weight = 3), ChangeRequest.of().copy(expected = listOf(stale)))
+        val byHead = node.apply(Workspace("b"), ChangeRequest.of().copy(headVersion = 1))
+
+        assertEquals(2, assertIs<ChangeFailure.Conflict>(byObject.leftOrNull()).current)
+        assertEquals(2, assertIs<ChangeFailure.Conflict>(byHead.leftOrNull()).current)
+    }
+
+    @Test
+    fun `a dry run and an unchanged object store nothing`() = runTest {
+        val node = Node(1)
+        node.apply(Workspace("a"))
+        val writes = table.writes
+
+        val dry = node.apply(Workspace("b"), ChangeRequest.of().copy(dryRun = true))
+        val same = node.apply(Workspace("a"))
+
+        assertIs<ChangeResult.Checked>(dry.getOrNull())
+        assertIs<ChangeResult.Unchanged>(same.getOrNull())
+        assertEquals(writes, table.writes)
+    }
+
+    @Test
+    fun `a new node loads the newest snapshot and what follows, after old changes were pruned`() = runTest {
+        val node = Node(1)
+        repeat(47) {
+            node.apply(Workspace("w$it"))
+            node.snapshots.writeIfDue(node.state.current)
+        }
+
+        val late = Node(2)
+        late.repository.catchUp()
+
+        assertEquals(node.state.current.objects, late.state.current.objects)
+        assertEquals(47, late.state.current.version)
+        assertEquals(3, objects.list(CatalogRows.SNAPSHOT_PREFIX).getOrNull()?.size)
+        assertTrue(table.scan(CatalogRows.CHANGE_PREFIX).getOrNull()!!.size < 30)
+    }
+
+    @Test
+    fun `a snapshot that can't be read is passed over for the one before`() = runTest {
+        val node = Node(1)
+        repeat(20) {
+            node.apply(Workspace("w$it"))
+            node.snapshots.writeIfDue(node.state.current)
+        }
+        objects.put(CatalogRows.snapshot(20), byteArrayOf(1, 2, 3))
+        val late = Node(2)
+
+        late.snapshots.loadNewerThan(0)
+
+        assertEquals(10, late.state.current.version)
+    }
+
+    private inner class Node(seed: Int, table: TableService = this@CatalogRepositoryTest.table) {
+        val state = CatalogState(EventSink.NONE)
+        private val operations = OperationIds(Random(seed))
+        val snapshots = SnapshotRepository(objects, table, state, operations, EventSink.NONE, every = 10)
+        val repository = CatalogRepository(table, state, snapshots, operations, EventSink.NONE)
+
+        suspend fun apply(value: CatalogObject, like: ChangeRequest = ChangeRequest.of()) = repository.apply(
+            ChangeRequest.of(Change.Put(value)).copy(
+                headVersion = like.headVersion,
+                expected = like.expected,
+                dryRun = like.dryRun,
+            ),
+        )
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/persimmonrelay/catalog/CatalogSamples.kt
@@ -0,0 +1,39 @@
+package org.persimmonrelay.catalog
+
+import kotlin.random.Random
+
+/** Small configurations for tests. */
+object CatalogSamples {
+    private val ZONES = listOf("a", "b", "c")
+
+    fun view(workspaces: Int, servers: Int): DefaultCatalogView {
+        val objects = (1..workspaces).map { workspace(it, ZONES[it % ZONES.size]) } +
+            (1..servers).map { server(it, ZONES[it % ZONES.size]) } +
+            listOf(
+                Pool("left", mapOf("side" to "left"), servers = "zone in (a, b)"),
+                Pool("right", mapOf("side" to "right"), servers = "zone!=a"),
+                Deployment("chat", model = "m", pools = "side=left", workspaces = "zone=a"),
+                Deployment("draft", model = "m", pools = "side", workspaces = ""),
+                PlainService("booking", servers = "zone=c", workspaces = "zone notin (b)"),
+                Limit("slow", workspaces = "zone=b", tokensPerMinute = 10),
+            )
+        return DefaultCatalogView.EMPTY.with(objects.map(Change::Put))
+    }
+
+    fun randomChanges(view: DefaultCatalogView, random: Random): List<Change> =
+        List(random.nextInt(1, 4)) { randomChange(view, random) }.distinctBy { it.ref }
+
+    fun workspace(number: Int, zone: String) = Workspace("w$number", mapOf("zone" to zone))
+
+    fun server(number: Int, zone: String) =
+        BackendServer("s$number", mapOf("zone" to zone), address = "127.0.0.1:$number", domain = "d", region = "r")
+
+    private fun randomChange(view: DefaultCatalogView, random: Random): Change = when (random.nextInt(6)) {
+        0 -> Change.Put(workspace(random.nextInt(1, 8), ZONES.random(random)))
+        1 -> Change.Put(server(random.nextInt(1, 8), ZONES.random(random)))
+        2 -> Change.Put(ApiKey("k${random.nextInt(3)}", digest = "d${random.nextInt(1_000_000)}"))
+        3 -> Change.Put(Pool("left", mapOf("side" to "left"), servers = "zone=${ZONES.random(random)}"))
+        4 -> Change.Put(Deployment("chat", model = "m", pools = "side", workspaces = "zone=${ZONES.random(random)}"))
+        else -> Change.Delete(view.objects.random(random).ref)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/persimmonrelay/catalog/CatalogValidatorTest.kt
@@ -0,0 +1,65 @@
+package org.persimmonrelay.catalog
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class CatalogValidatorTest {
+    private val digest = "0".repeat(64)
+
+    @Test
+    fun `all mistakes are reported at once with their paths`() {
+        val changes = listOf(
+            Workspace("Bad Name", mapOf("k" to "not ok"), weight = 0),
+            Pool("p", servers = "zone in ("),
+            BackendServer("s", address = "nowhere", domain = "", region = "r"),
+            ApiKey("k", workspace = "missing", digest = "short"),
+            Limit("l", workspaces = "", tokensPerMinute = 0),
+        ).map(Change::Put)
+
+        val mistakes = CatalogValidator.mistakesIn(DefaultCatalogView.EMPTY, changes)
+
+        assertEquals(
+            listOf(
+                "workspaces/Bad Name.name",
+                "workspaces/Bad Name.labels.k",
+                "workspaces/Bad Name.weight",
+                "pools/p.servers",
+                "servers/s.address",
+                "servers/s.domain",
+                "keys/k.digest",
+                "keys/k.workspace",
+                "limits/l.tokensPerMinute",
+            ),
+            mistakes.map { it.path },
+        )
+    }
+
+    @Test
+    fun `a key may come with its workspace in one change`() {
+        val changes = listOf(Change.Put(ApiKey("k", workspace = "w", digest = digest)), Change.Put(Workspace("w")))
+
+        assertEquals(emptyList(), CatalogValidator.mistakesIn(DefaultCatalogView.EMPTY, changes))
+    }
+
+    @Test
+    fun `a withdrawn key can't be made valid again`() {
+        val withdrawn = ApiKey("k", digest = digest, withdrawn = true)
+        val before = DefaultCatalogView.EMPTY.with(listOf(Change.Put(withdrawn)))
+
+        val mistakes = CatalogValidator.mistakesIn(before, listOf(Change.Put(withdrawn.copy(withdrawn = false))))
+
+        assertEquals(listOf("keys/k.withdrawn"), mistakes.map { it.path })
+    }
+
+    @Test
+    fun `a workspace stays while keys belong to it`() {
+        val before = DefaultCatalogView.EMPTY.with(
+            listOf(Change.Put(Workspace("w")), Change.Put(ApiKey("k", workspace = "w", digest = digest))),
+        )
+        val workspace = Change.Delete(ObjectRef(ObjectKind.WORKSPACE, "w"))
+        val key = Change.Delete(ObjectRef(ObjectKind.KEY, "k"))
+
+        assertEquals(1, CatalogValidator.mistakesIn(before, listOf(workspace)).size)
+        assertEquals(emptyList(), CatalogValidator.mistakesIn(before, listOf(workspace, key)))
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/persimmonrelay/catalog/DefaultCatalogViewTest.kt
@@ -0,0 +1,68 @@
+package org.persimmonrelay.catalog
+
+import net.jqwik.api.Arbitraries
+import net.jqwik.api.Arbitrary
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.Provide
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.test.assertSame
+
+class DefaultCatalogViewTest {
+    @Test
+    fun `a key's new digest replaces the old one`() {
+        val first = DefaultCatalogView.EMPTY.with(listOf(Change.Put(ApiKey("k", digest = "d1"))))
+
+        val second = first.with(listOf(Change.Put(ApiKey("k", digest = "d2"))))
+
+        assertNull(second.keyByDigest("d1"))
+        assertEquals("k", second.keyByDigest("d2")?.name)
+        assertEquals("k", first.keyByDigest("d1")?.name)
+    }
+
+    @Test
+    fun `a change of a key keeps what was computed of other kinds`() {
+        val first = CatalogSamples.view(workspaces = 5, servers = 6)
+        val deployment = first.deployment("chat")!!
+        val servers = first.serversOf(deployment)
+
+        val second = first.with(listOf(Change.Put(ApiKey("new", digest = "d"))))
+
+        assertSame(servers, second.serversOf(deployment))
+    }
+
+    @Property(seed = "7303", tries = 300)
+    fun `a view grown by changes answers like one built at once`(@ForAll("seeds") seed: Long) {
+        val random = Random(seed)
+        var view = CatalogSamples.view(workspaces = 4, servers = 5)
+        repeat(12) {
+            view = view.with(CatalogSamples.randomChanges(view, random))
+            askEverything(view)
+        }
+
+        val rebuilt = DefaultCatalogView.of(view.version, view.stored())
+
+        assertEquals(askEverything(rebuilt), askEverything(view))
+    }
+
+    @Provide
+    fun seeds(): Arbitrary<Long> = Arbitraries.longs()
+
+    private fun askEverything(view: DefaultCatalogView): List<Any?> {
+        val workspaces = view.select(ObjectKind.WORKSPACE, Selector.ALL).map { it as Workspace }
+        val deployments = view.select(ObjectKind.DEPLOYMENT, Selector.ALL).map { it as Deployment }
+        val services = view.select(ObjectKind.SERVICE, Selector.ALL).map { it as PlainService }
+        return listOf(
+            view.objects,
+            workspaces.map(view::deploymentsFor),
+            workspaces.map(view::limitsFor),
+            workspaces.map { workspace -> services.map { view.mayUse(workspace, it) } },
+            deployments.map { view.serversOf(it) },
+            services.map { view.serversOf(it) },
+            view.objects.filterIsInstance<ApiKey>().map { view.keyByDigest(it.digest) },
+        )
+    }
+}
