Let nodes find each other and spread summaries without a coordination service

Cause: 370 nodes have to know who serves, at constant messages per node, and no membership may live in rows. Gossip: one value per topic and node within a region, one aggregate per region between them, exchanged by digests. LeavingServers spreads marks by server life.

--- a/src/main/kotlin/org/persimmonrelay/membership/Membership.kt
+++ b/src/main/kotlin/org/persimmonrelay/membership/Membership.kt
@@ -8,7 +8,24 @@
 
 /** What this node believes of a member. */
 @Serializable
-public enum class MemberState { ALIVE, SUSPECT, LEAVING, LEFT, FAILED }
+public enum class MemberState {
+    ALIVE,
+
+    /** Gave no answer lately; is still counted on until it is declared failed. */
+    SUSPECT,
+
+    /** Stops on purpose: finishes its work and takes no new. */
+    LEAVING,
+    FAILED,
+    LEFT,
+    ;
+
+    /** True for members that can be called. */
+    public val isPresent: Boolean get() = this == ALIVE || this == SUSPECT || this == LEAVING
+
+    /** True for members that may be given work and duties. */
+    public val isServing: Boolean get() = this == ALIVE || this == SUSPECT
+}
 
 /** One node of the system. */
 @Serializable
@@ -20,7 +37,14 @@
 )
 
 /** The members that this node knows, itself included. */
-public data class MembershipView(val self: Member, val members: List<Member>)
+public data class MembershipView(val self: Member, val members: List<Member>) {
+    /** Members that may be given work and duties, this node included unless it is leaving. */
+    public val serving: List<Member> get() = members.filter { it.state.isServing }
+
+    /** Members that can be called, without this node. */
+    public val peers: List<Member>
+        get() = members.filter { it.state.isPresent && it.address.node != self.address.node }
+}
 
 /** Who takes part in the system, as seen from this node. */
 public interface Membership {
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/standin/VirtualMesh.kt
@@ -0,0 +1,147 @@
+package org.persimmonrelay.standin
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.StandardTestDispatcher
+import kotlinx.coroutines.test.TestCoroutineScheduler
+import org.persimmonrelay.clock.Clock
+import org.persimmonrelay.clock.Moment
+import org.persimmonrelay.identity.FailureDomain
+import org.persimmonrelay.identity.Incarnation
+import org.persimmonrelay.identity.NodeId
+import org.persimmonrelay.identity.Region
+import org.persimmonrelay.membership.GossipSettings
+import org.persimmonrelay.membership.LeavingServers
+import org.persimmonrelay.membership.MembershipEvent
+import org.persimmonrelay.membership.NodePlace
+import org.persimmonrelay.membership.SeedRepository
+import org.persimmonrelay.membership.SwimGossip
+import org.persimmonrelay.membership.SwimMembership
+import org.persimmonrelay.membership.SwimSettings
+import org.persimmonrelay.peer.PeerAddress
+import org.persimmonrelay.timeline.EventSink
+import kotlin.random.Random
+import kotlin.time.Duration
+
+/** Many nodes' membership and gossip in one thread and in virtual time, over a [FakePeerHub]. */
+@OptIn(ExperimentalCoroutinesApi::class)
+public class VirtualMesh(
+    seed: Long,
+    private val swim: SwimSettings = SwimSettings(),
+    private val gossip: GossipSettings = GossipSettings(),
+) {
+    private val scheduler = TestCoroutineScheduler()
+    private val dispatcher = StandardTestDispatcher(scheduler)
+    private val scope = CoroutineScope(dispatcher + SupervisorJob())
+    private var starts = 0
+
+    /** All draws of this mesh. */
+    public val random: Random = Random(seed)
+
+    public val hub: FakePeerHub = FakePeerHub(scope, random)
+    public val table: StandInTable = StandInTable()
+    public val nodes: MutableMap<NodeId, VirtualNode> = linkedMapOf()
+
+    /** Told of each event with the node that recorded it. */
+    public var onEvent: (NodeId, MembershipEvent, Map<String, String>) -> Unit = { _, _, _ -> }
+
+    public val clock: Clock = object : Clock {
+        override fun now() = Moment(scheduler.currentTime * NANOS_PER_MILLI)
+
+        override fun wallMillis() = scheduler.currentTime
+    }
+
+    /** Starts, or starts again, the node [name]; it joins as time goes on. */
+    public fun start(name: String, region: String, domain: String = region): VirtualNode {
+        val node = NodeId(name)
+        nodes[node]?.let { kill(node) }
+        val address = PeerAddress(node, Incarnation("$name-${starts++}"), "10.0.0.1", PORT)
+        val place = NodePlace(address, FailureDomain(domain), Region(region))
+        return VirtualNode(place, build(place)).also { nodes[node] = it }
+    }
+
+    /** Ends the process of [node] at once. */
+    public fun kill(node: NodeId) {
+        val ended = nodes.remove(node) ?: return
+        ended.parts.network.stop()
+        ended.parts.scope.cancel()
+    }
+
+    /** Stops all work of [node] until [resume]. */
+    public fun pause(node: NodeId) {
+        nodes[node]?.parts?.run {
+            dispatcher.pause()
+            network.pause()
+        }
+    }
+
+    /** Lets [node] go on after [pause]. */
+    public fun resume(node: NodeId) {
+        nodes[node]?.parts?.run {
+            dispatcher.resume()
+            network.resume()
+        }
+    }
+
+    /** Begins [work] as [node]'s process; it goes on as time does. */
+    public fun run(node: VirtualNode, work: suspend () -> Unit) {
+        node.parts.scope.launch { work() }
+    }
+
+    /** Lets [duration] of virtual time pass. */
+    public fun advance(duration: Duration) {
+        scheduler.advanceTimeBy(duration)
+        scheduler.runCurrent()
+    }
+
+    /** Ends all nodes. */
+    public fun close() {
+        nodes.values.forEach { it.parts.scope.cancel() }
+        scope.cancel()
+        scheduler.advanceUntilIdle()
+    }
+
+    private fun build(place: NodePlace): VirtualParts {
+        val own = PausableDispatcher(dispatcher)
+        val ownScope = CoroutineScope(own + Job(scope.coroutineContext[Job]))
+        val network = hub.join(place.address)
+        val events = EventSink { code, fields ->
+            if (code is MembershipEvent) onEvent(place.address.node, code, fields.associate { it.name to it.value })
+        }
+        val seeds = SeedRepository(table, Random(random.nextLong()))
+        val membership = SwimMembership(place, network, seeds, clock, Random(random.nextLong()), events, own, swim)
+        val gossip = SwimGossip(membership, network, Random(random.nextLong()), events, own, gossip)
+        val leaving = LeavingServers(place.address.node, gossip, events)
+        ownScope.launch {
+            membership.join(ownScope)
+            gossip.start(ownScope, membership.generation)
+        }
+        return VirtualParts(network, own, ownScope, membership, gossip, leaving)
+    }
+
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
+        const val PORT = 7000
+    }
+}
+
+/** A node of a [VirtualMesh]. */
+public class VirtualNode internal constructor(public val place: NodePlace, public val parts: VirtualParts) {
+    /** Names of the members that this node takes for serving. */
+    public fun serving(): Set<NodeId> =
+        parts.membership.view.value.serving.mapTo(sortedSetOf(compareBy { it.value })) { it.address.node }
+}
+
+/** What a [VirtualNode] is made of. */
+public class VirtualParts internal constructor(
+    public val network: FakePeerNetwork,
+    internal val dispatcher: PausableDispatcher,
+    internal val scope: CoroutineScope,
+    public val membership: SwimMembership,
+    public val gossip: SwimGossip,
+    public val leaving: LeavingServers,
+)
