Send configuration through the node's one table client

Cause: the repository settled lost answers by itself and kept no budget. Change: it uses the reliable client, sends an unsettled transaction again, and pushes a change again to members that did not confirm it. Conclusion: one place settles lost answers; tests of the repository pass.

--- a/src/main/kotlin/org/persimmonrelay/catalog/CatalogManager.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/CatalogManager.kt
@@ -27,7 +27,7 @@
     public suspend fun apply(request: ChangeRequest): Either<ChangeFailure, ChangeReceipt> = either {
         val result = repository.apply(request).bind()
         if (result !is ChangeResult.Stored) return@either ChangeReceipt(result)
-        val spread = peers.push(result.delta)
+        val spread = peers.push(result.delta, scope)
         if (!spread.isMajority) recordIncomplete(result, spread)
         scope.launch { snapshots.writeIfDue(state.current) }
         ChangeReceipt(result, spread)
--- a/src/main/kotlin/org/persimmonrelay/catalog/CatalogPeers.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/CatalogPeers.kt
@@ -1,7 +1,9 @@
 package org.persimmonrelay.catalog
 
-import kotlinx.coroutines.async
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.sync.withPermit
 import kotlinx.coroutines.withTimeoutOrNull
@@ -12,7 +14,7 @@
 import org.persimmonrelay.membership.Membership
 import org.persimmonrelay.peer.PeerAddress
 import org.persimmonrelay.peer.PeerNetwork
-import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -40,31 +42,48 @@
         network.serve(CatalogMethods.PROBE) { answerProbe() }
     }
 
-    /** Sends [delta] to every member and tells how many have confirmed it within the time for one round. */
-    public suspend fun push(delta: Delta): Spread {
-        val others = others()
-        val confirmed = AtomicInteger(if (guard.started) 1 else 0)
+    /**
+     * Sends [delta] to every member and tells how many confirmed it in the first round. Members that did not are
+     * sent it again in [scope], in case only the message was lost.
+     */
+    public suspend fun push(delta: Delta, scope: CoroutineScope): Spread {
         val message = ConfigPush(self(), CatalogJson.stored.encodeToString(Delta.serializer(), delta))
-        withTimeoutOrNull(ROUND_TIMEOUT) { pushToAll(others, message, delta.version, confirmed) }
-        return Spread(confirmed.get(), guard.expectedNodes().size)
+        val waiting = ConcurrentHashMap.newKeySet<NodeId>()
+        waiting += others().map { it.address.node }
+        withTimeoutOrNull(ROUND_TIMEOUT) { pushRound(waiting, message, delta.version) }
+        val spread = spread(waiting)
+        if (waiting.isNotEmpty()) scope.launch { pushAgain(waiting, message, delta.version) }
+        return spread
     }
 
-    private suspend fun pushToAll(
-        others: List<Member>,
-        message: ConfigPush,
-        version: Long,
-        confirmed: AtomicInteger,
-    ): Unit = coroutineScope {
-        val permits = Semaphore(PUSHES_AT_ONCE)
-        others.sortedBy { it.state == MemberState.FAILED }.forEach { member ->
-            async {
-                permits.withPermit {
-                    val answer = network.call(member.address, CatalogMethods.PUSH, message, PUSH_TIMEOUT).getOrNull()
-                    if (answer != null && answer.started && answer.version >= version) confirmed.incrementAndGet()
+    private fun spread(waiting: Set<NodeId>): Spread {
+        val expected = guard.expectedNodes()
+        val lacking = expected.count { it in waiting } + if (guard.started) 0 else 1
+        return Spread(expected.size - lacking, expected.size)
+    }
+
+    private suspend fun pushAgain(waiting: MutableSet<NodeId>, message: ConfigPush, version: Long) {
+        repeat(PUSH_REPEATS) {
+            delay(PUSH_PAUSE)
+            pushRound(waiting, message, version)
+        }
+    }
+
+    private suspend fun pushRound(waiting: MutableSet<NodeId>, message: ConfigPush, version: Long): Unit =
+        coroutineScope {
+            val permits = Semaphore(PUSHES_AT_ONCE)
+            val targets = others().filter { it.address.node in waiting }
+            targets.sortedBy { it.state == MemberState.FAILED }.forEach { member ->
+                launch {
+                    permits.withPermit {
+                        val answer =
+                            network.call(member.address, CatalogMethods.PUSH, message, PUSH_TIMEOUT).getOrNull()
+                        val confirmed = answer != null && answer.started && answer.version >= version
+                        if (confirmed) waiting -= member.address.node
+                    }
                 }
             }
         }
-    }
 
     /** Asks [member] how new its configuration is, adopts what is newer, and learns from the answer. */
     public suspend fun ask(member: Member) {
@@ -144,9 +163,11 @@
 
     private companion object {
         const val PUSHES_AT_ONCE = 64
+        const val PUSH_REPEATS = 3
         const val DELTAS_AT_ONCE = 8
         const val NO_AGE = -1L
         val PUSH_TIMEOUT = 1.seconds
+        val PUSH_PAUSE = 1.seconds
         val ROUND_TIMEOUT = 2500.milliseconds
         val PROBE_TIMEOUT = 800.milliseconds
         val FETCH_TIMEOUT = 3.seconds
--- a/src/main/kotlin/org/persimmonrelay/catalog/CatalogRepository.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/CatalogRepository.kt
@@ -3,8 +3,9 @@
  * the row of change n + 1 is created. Both conditions together make versions a single line without gaps.
  *
  * An answer can be lost after the transaction took effect, and a transaction can still be under way when its
- * caller gives up on it. Both are settled by sending the same transaction again: if either attempt took effect,
- * the head has moved on, so that the other can't, and the change row names the operation that won.
+ * caller gives up on it. The table client settles both by the operation id in the rows; where it can't for now,
+ * the same transaction is sent again: if either attempt took effect, the head has moved on, so that the other
+ * can't, and the change row, which is written once, names the operation that won.
  */
 package org.persimmonrelay.catalog
 
@@ -15,11 +16,11 @@
 import arrow.core.raise.ensure
 import arrow.core.right
 import kotlinx.coroutines.delay
-import org.persimmonrelay.platform.CommitResult
+import org.persimmonrelay.platform.CommitOutcome
 import org.persimmonrelay.platform.Condition
+import org.persimmonrelay.platform.ReliableTable
 import org.persimmonrelay.platform.Row
 import org.persimmonrelay.platform.StoreUnavailable
-import org.persimmonrelay.platform.TableService
 import org.persimmonrelay.platform.Transaction
 import org.persimmonrelay.platform.Write
 import org.persimmonrelay.timeline.EventSink
@@ -28,7 +29,7 @@
 
 /** Reads and writes the configuration's rows, and brings [state] up to what it reads. */
 public class CatalogRepository(
-    private val table: TableService,
+    private val table: ReliableTable,
     private val state: CatalogState,
     private val snapshots: SnapshotRepository,
     private val operations: OperationIds,
@@ -81,12 +82,22 @@
         val encoded = CatalogJson.stored.encodeToString(Delta.serializer(), delta)
         if (encoded.length > MAX_DELTA_CHARACTERS) return Attempt.Done(tooLarge(encoded.length).left())
         val transaction = transaction(head, delta, encoded)
-        repeat(MAX_SENDS) { sent ->
-            if (sent > 0) delay(RESEND_AFTER * sent)
-            val answer = table.commit(transaction).getOrNull() ?: return@repeat
-            return if (isStored(answer, delta)) stored(delta) else Attempt.Raced
+        val first = table.commit(transaction)
+        if (first is CommitOutcome.NotSent) return failed(StoreUnavailable(first.message))
+        return when (if (first is CommitOutcome.Unknown) resend(transaction) else first) {
+            is CommitOutcome.Committed -> stored(delta)
+            is CommitOutcome.Conflict -> Attempt.Raced
+            else -> Attempt.Done(ChangeFailure.OutcomeUnknown(delta.version, delta.operation).left())
         }
-        return Attempt.Done(ChangeFailure.OutcomeUnknown(delta.version, delta.operation).left())
+    }
+
+    private suspend fun resend(transaction: Transaction): CommitOutcome? {
+        repeat(RESENDS) {
+            delay(RESEND_AFTER)
+            val outcome = table.commit(transaction)
+            if (outcome is CommitOutcome.Committed || outcome is CommitOutcome.Conflict) return outcome
+        }
+        return null
     }
 
     private fun transaction(head: HeadRow, delta: Delta, encoded: String): Transaction {
@@ -99,13 +110,6 @@
         )
     }
 
-    private fun isStored(answer: CommitResult, delta: Delta): Boolean = when (answer) {
-        is CommitResult.Committed -> true
-        is CommitResult.Conflict -> answer.current.any { it.isChangeBy(delta) }
-    }
-
-    private fun Row.isChangeBy(delta: Delta) = key == CatalogRows.change(delta.version) && operation == delta.operation
-
     private fun stored(delta: Delta): Attempt {
         state.adopt(listOf(delta))
         return Attempt.Done(ChangeResult.Stored(delta.version, delta.operation, delta).right())
@@ -177,10 +181,10 @@
 
     private companion object {
         const val MAX_RACES = 8
-        const val MAX_SENDS = 3
+        const val RESENDS = 3
         const val MAX_DELTA_CHARACTERS = 256 * 1024
         const val SCAN_LIMIT = 200
-        val RESEND_AFTER = 200.milliseconds
+        val RESEND_AFTER = 500.milliseconds
     }
 }
 
--- a/src/main/kotlin/org/persimmonrelay/catalog/CatalogService.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/CatalogService.kt
@@ -5,7 +5,7 @@
 import org.persimmonrelay.membership.Membership
 import org.persimmonrelay.peer.PeerNetwork
 import org.persimmonrelay.platform.ObjectStore
-import org.persimmonrelay.platform.TableService
+import org.persimmonrelay.platform.ReliableTable
 import org.persimmonrelay.timeline.EventSink
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -14,7 +14,7 @@
 
 /** What the configuration of one node needs from the rest. [random] must differ from node to node. */
 public data class CatalogDependencies(
-    val table: TableService,
+    val table: ReliableTable,
     val objects: ObjectStore,
     val network: PeerNetwork,
     val membership: Membership,
--- a/src/main/kotlin/org/persimmonrelay/catalog/SnapshotRepository.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/SnapshotRepository.kt
@@ -2,10 +2,11 @@
 
 import arrow.core.Either
 import arrow.core.raise.either
+import org.persimmonrelay.platform.CommitOutcome
 import org.persimmonrelay.platform.Condition
 import org.persimmonrelay.platform.ObjectStore
+import org.persimmonrelay.platform.ReliableTable
 import org.persimmonrelay.platform.StoreUnavailable
-import org.persimmonrelay.platform.TableService
 import org.persimmonrelay.platform.Transaction
 import org.persimmonrelay.platform.Write
 import org.persimmonrelay.timeline.EventSink
@@ -18,7 +19,7 @@
  */
 public class SnapshotRepository(
     private val objects: ObjectStore,
-    private val table: TableService,
+    private val table: ReliableTable,
     private val state: CatalogState,
     private val operations: OperationIds,
     private val events: EventSink,
@@ -86,8 +87,8 @@
             conditions = old.map { Condition.VersionIs(it.key, it.version) },
             writes = old.map { Write.Delete(it.key) },
         )
-        table.commit(transaction).bind()
-        if (old.size == PRUNED_AT_ONCE) pruneChangesBefore(version).bind()
+        val pruned = table.commit(transaction) is CommitOutcome.Committed
+        if (pruned && old.size == PRUNED_AT_ONCE) pruneChangesBefore(version).bind()
     }
 
     private companion object {
--- a/src/test/kotlin/org/persimmonrelay/admin/AdminHarness.kt
+++ b/src/test/kotlin/org/persimmonrelay/admin/AdminHarness.kt
@@ -11,6 +11,7 @@
 import org.persimmonrelay.catalog.KeyFactory
 import org.persimmonrelay.catalog.LoneMembership
 import org.persimmonrelay.clock.SystemClock
+import org.persimmonrelay.platform.ReliableTable
 import org.persimmonrelay.settings.ListenSettings
 import org.persimmonrelay.standin.StandInObjectStore
 import org.persimmonrelay.standin.StandInTable
@@ -24,7 +25,7 @@
     val table = StandInTable()
     val catalog = CatalogService(
         dependencies = CatalogDependencies(
-            table = table,
+            table = ReliableTable(table, SystemClock, Random(2)),
             objects = StandInObjectStore(),
             network = DeadNetwork,
             membership = membership,
--- a/src/test/kotlin/org/persimmonrelay/catalog/CatalogRepositoryTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/catalog/CatalogRepositoryTest.kt
@@ -1,6 +1,9 @@
 package org.persimmonrelay.catalog
 
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
+import org.persimmonrelay.platform.ReliableTable
 import org.persimmonrelay.platform.TableService
 import org.persimmonrelay.standin.StandInObjectStore
 import org.persimmonrelay.standin.StandInTable
@@ -10,6 +13,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
 
 class CatalogRepositoryTest {
     private val table = StandInTable()
@@ -17,8 +21,8 @@
 
     @Test
     fun `versions follow each other and reach another node`() = runTest {
-        val one = Node(1)
-        val two = Node(2)
+        val one = Node(this, 1)
+        val two = Node(this, 2)
 
         one.apply(Workspace("a"))
         two.apply(Workspace("b"))
@@ -30,21 +34,22 @@
 
     @Test
     fun `a lost answer is settled as accepted`() = runTest {
-        val losing = LosingTable(table, lost = 1)
+        val node = Node(this, 2, LosingTable(table, lost = 1))
 
-        val result = Node(2, losing).apply(Workspace("a"))
+        val stored = assertIs<ChangeResult.Stored>(node.apply(Workspace("a")).getOrNull())
 
-        assertEquals(1, assertIs<ChangeResult.Stored>(result.getOrNull()).version)
-        assertEquals(2, losing.commits)
+        assertEquals(1, stored.version)
+        assertEquals(1, Node(this, 1).repository.catchUp().getOrNull())
+        assertEquals(stored.operation, node.repository.deltaOf(1).getOrNull()?.operation)
     }
 
     @Test
     fun `an outage during the commit leaves the outcome unknown and names the operation`() = runTest {
-        val losing = LosingTable(table, lost = 100)
+        val node = Node(this, 1, LosingTable(table, lost = 1, downAfterwards = true))
 
-        val failure = assertIs<ChangeFailure.OutcomeUnknown>(Node(1, losing).apply(Workspace("a")).leftOrNull())
+        val failure = assertIs<ChangeFailure.OutcomeUnknown>(node.apply(Workspace("a")).leftOrNull())
 
-        val stored = Node(2).repository.deltaOf(failure.version).getOrNull()
+        val stored = Node(this, 2).repository.deltaOf(failure.version).getOrNull()
         assertEquals(failure.operation, stored?.operation)
     }
 
@@ -52,15 +57,15 @@
     fun `a change during an outage is refused as not made`() = runTest {
         table.faults.down = true
 
-        assertIs<ChangeFailure.Unavailable>(Node(1).apply(Workspace("a")).leftOrNull())
+        assertIs<ChangeFailure.Unavailable>(Node(this, 1).apply(Workspace("a")).leftOrNull())
         table.faults.down = false
 
-        assertEquals(0, Node(2).repository.catchUp().getOrNull())
+        assertEquals(0, Node(this, 2).repository.catchUp().getOrNull())
     }
 
     @Test
     fun `an expected version that has passed is a conflict that names the version to read`() = runTest {
-        val node = Node(1)
+        val node = Node(this, 1)
         node.apply(Workspace("a"))
         node.apply(Workspace("a", weight = 2))
         val stale = ExpectedVersion(ObjectRef(ObjectKind.WORKSPACE, "a"), 1)
@@ -74,7 +79,7 @@
 
     @Test
     fun `a dry run and an unchanged object store nothing`() = runTest {
-        val node = Node(1)
+        val node = Node(this, 1)
         node.apply(Workspace("a"))
         val writes = table.writes
 
@@ -88,13 +93,14 @@
 
     @Test
     fun `a new node loads the newest snapshot and what follows, after old changes were pruned`() = runTest {
-        val node = Node(1)
+        val node = Node(this, 1)
         repeat(47) {
             node.apply(Workspace("w$it"))
             node.snapshots.writeIfDue(node.state.current)
+            delay(200.milliseconds)
         }
 
-        val late = Node(2)
+        val late = Node(this, 2)
         late.repository.catchUp()
 
         assertEquals(node.state.current.objects, late.state.current.objects)
@@ -105,21 +111,23 @@
 
     @Test
     fun `a snapshot that can't be read is passed over for the one before`() = runTest {
-        val node = Node(1)
+        val node = Node(this, 1)
         repeat(20) {
             node.apply(Workspace("w$it"))
             node.snapshots.writeIfDue(node.state.current)
+            delay(200.milliseconds)
         }
         objects.put(CatalogRows.snapshot(20), byteArrayOf(1, 2, 3))
-        val late = Node(2)
+        val late = Node(this, 2)
 
         late.snapshots.loadNewerThan(0)
 
         assertEquals(10, late.state.current.version)
     }
 
-    private inner class Node(seed: Int, table: TableService = this@CatalogRepositoryTest.table) {
+    private inner class Node(scope: TestScope, seed: Int, service: TableService = this@CatalogRepositoryTest.table) {
         val state = CatalogState(EventSink.NONE)
+        private val table = ReliableTable(service, SchedulerClock(scope.testScheduler), Random(seed))
         private val operations = OperationIds(Random(seed))
         val snapshots = SnapshotRepository(objects, table, state, operations, EventSink.NONE, every = 10)
         val repository = CatalogRepository(table, state, snapshots, operations, EventSink.NONE)
