--- a/src/main/kotlin/org/persimmonrelay/engine/EngineProfile.kt
+++ b/src/main/kotlin/org/persimmonrelay/engine/EngineProfile.kt
@@ -6,7 +6,8 @@
  * How fast one kind of engine works. Routing, roles and fleet size are decided from these figures.
  *
  * An engine works in steps: a step takes [stepMillis], plus [sequenceMillis] for each running sequence, plus
- * [promptTokenMillis] for each prompt token of the chunk that it also reads.
+ * [promptTokenMillis] for each prompt token of the chunk that it also reads. A step that does both takes
+ * [mixedFactor] times as long, since the two kinds of work hinder each other.
  */
 @Serializable
 public data class EngineProfile(
@@ -15,6 +16,7 @@
     val promptTokenMillis: Double = 0.05,
     val prefillChunkTokens: Int = 2_048,
     val mixedChunkTokens: Int = 512,
+    val mixedFactor: Double = 1.25,
     val maxRunning: Int = 64,
     val kvTokens: Long = 128_000,
     val blockTokens: Int = 256,
@@ -37,8 +39,11 @@
     }
 
     /** Seconds of one step with [sequences] running and [promptTokens] read. */
-    public fun stepSeconds(sequences: Int, promptTokens: Int): Double =
-        (stepMillis + sequences * sequenceMillis + promptTokens * promptTokenMillis) / MILLIS_PER_SECOND
+    public fun stepSeconds(sequences: Int, promptTokens: Int): Double {
+        val millis = stepMillis + sequences * sequenceMillis + promptTokens * promptTokenMillis
+        val factor = if (sequences > 0 && promptTokens > 0) mixedFactor else 1.0
+        return millis * factor / MILLIS_PER_SECOND
+    }
 
     /** Seconds to move the KV cache of [tokens] between two engines of one failure domain. */
     public fun transferSeconds(tokens: Int): Double =
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/experiment/EntryNode.kt
@@ -0,0 +1,37 @@
+package org.persimmonrelay.experiment
+
+import org.persimmonrelay.fairness.FairShareLedger
+import org.persimmonrelay.fairness.ShareSummary
+import org.persimmonrelay.identity.DeploymentId
+import org.persimmonrelay.identity.Incarnation
+import org.persimmonrelay.identity.NodeId
+import org.persimmonrelay.routing.Demand
+import org.persimmonrelay.routing.Dispatcher
+import org.persimmonrelay.routing.ExpectedTimeDispatcher
+import org.persimmonrelay.routing.RoundRobinDispatcher
+import org.persimmonrelay.routing.RoutingSettings
+import kotlin.random.Random
+
+/** A node of a run: its region and the very dispatcher that production uses. */
+internal class EntryNode(
+    val index: Int,
+    val region: Int,
+    val dispatcher: Dispatcher,
+    private val ledger: FairShareLedger?,
+) {
+    /** What to tell the other nodes, if this arm tells anything. */
+    fun summary(deployment: String): ShareSummary? =
+        ledger?.summary(NodeId("node-$index"), Incarnation("1"), DeploymentId(deployment))
+
+    fun takeDemand(): Demand = (dispatcher as? ExpectedTimeDispatcher)?.takeDemand() ?: Demand.NONE
+
+    internal companion object {
+        fun of(arm: Arm, index: Int, region: Int, settings: RoutingSettings, seed: Long): EntryNode = when (arm) {
+            Arm.NAIVE -> EntryNode(index, region, RoundRobinDispatcher(), null)
+            Arm.OURS -> {
+                val ledger = FairShareLedger()
+                EntryNode(index, region, ExpectedTimeDispatcher(settings, Random(seed + index), ledger), ledger)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/experiment/ScenarioExperiment.kt
@@ -0,0 +1,23 @@
+package org.persimmonrelay.experiment
+
+/** Runs scenarios: the same code that decides in production, in virtual time. */
+public class ScenarioExperiment {
+    /**
+     * Runs [scenario] on the trace that [seed] gives. The same seed gives the same figures, but for
+     * [Scenario.SCALE].
+     */
+    public fun run(scenario: Scenario, seed: Long): ScenarioReport {
+        val serving = ServingScenarios(seed)
+        return when (scenario) {
+            Scenario.MIX_SHIFT -> serving.mixShift()
+            Scenario.STONES -> serving.stones()
+            Scenario.FLOOD -> serving.flood()
+            Scenario.OVERLOAD -> serving.overload()
+            Scenario.CRASH -> serving.crash()
+            Scenario.DOMAIN_LOSS -> serving.domainLoss()
+            Scenario.STALE -> serving.stale()
+            Scenario.REGION_CUT -> serving.regionCut()
+            Scenario.NO_CHEAP, Scenario.DRIFT, Scenario.SCALE -> error("not here")
+        }
+    }
+}
--- a/src/main/kotlin/org/persimmonrelay/fairness/FairShareLedger.kt
+++ b/src/main/kotlin/org/persimmonrelay/fairness/FairShareLedger.kt
@@ -1,7 +1,7 @@
 /*
  * Start-time fair queueing over the nodes of a pool. Each workspace has a virtual time: the engine seconds it
  * used on any node, divided by its weight. The backlogged workspace with the least virtual time goes first.
- * A workspace that was idle restarts at the time of the one served last, so that idleness earns no credit.
+ * A workspace that was idle restarts shortly before the time of the one served last: idleness earns little credit.
  */
 package org.persimmonrelay.fairness
 
@@ -21,6 +21,10 @@
     private var systemTime = 0.0
     private var sequence = 0L
 
+    /** Virtual time at which a workspace restarts that was idle for long. */
+    private val oldest: Double
+        get() = systemTime - settings.idleCreditSeconds
+
     /** Sum of the weights of the workspaces that have requests waiting here. */
     public var backloggedWeight: Int = 0
         private set
@@ -30,7 +34,7 @@
         val account = account(workspace, weight)
         if (account.waiting) return
         account.waiting = true
-        account.virtualTime = account.virtualTime.coerceIn(systemTime, systemTime + settings.maxLeadSeconds)
+        account.virtualTime = account.virtualTime.coerceIn(oldest, systemTime + settings.maxLeadSeconds)
         backlogged += account
         backloggedWeight += account.weight
     }
@@ -63,7 +67,7 @@
     }
 
     /** Engine seconds per unit of weight that [workspace] is ahead of the one served last. */
-    public fun lead(workspace: WorkspaceId): Double = (accounts[workspace]?.virtualTime ?: systemTime) - systemTime
+    public fun lead(workspace: WorkspaceId): Double = (accounts[workspace]?.virtualTime ?: oldest) - systemTime
 
     /** What to tell the peers now. */
     public fun summary(node: NodeId, incarnation: Incarnation, deployment: DeploymentId): ShareSummary {
@@ -97,12 +101,12 @@
     }
 
     private fun account(workspace: WorkspaceId, weight: Int?): ShareAccount {
-        val account = accounts.getOrPut(workspace) { ShareAccount(workspace, maxOf(1, weight ?: 1), systemTime) }
-        if (weight != null && weight > 0 && weight != account.weight && !account.waiting) account.weight = weight
+        val account = accounts.getOrPut(workspace) { ShareAccount(workspace, maxOf(1, weight ?: 1), oldest) }
+        if (weight != null && !account.waiting) account.weight = maxOf(1, weight)
         return account
     }
 
     private fun forgetIdle() {
-        accounts.values.removeIf { it.settled() && it.virtualTime <= systemTime }
+        accounts.values.removeIf { it.settled() && it.virtualTime <= oldest }
     }
 }
--- a/src/main/kotlin/org/persimmonrelay/routing/EngineEstimate.kt
+++ b/src/main/kotlin/org/persimmonrelay/routing/EngineEstimate.kt
@@ -7,13 +7,17 @@
 import org.persimmonrelay.engine.LoadReport
 import org.persimmonrelay.identity.ServerId
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.DurationUnit
 
 /**
  * What this node believes of one engine's load: its own work there, which it knows exactly, plus that of other
  * nodes, which it takes from load reports by subtracting what it had there itself when the report was made.
  */
-internal class EngineEstimate(var server: BackendServer, private val settings: RoutingSettings) {
+internal class EngineEstimate(
+    var server: BackendServer,
+    private val settings: RoutingSettings,
+    private val waits: WaitModel,
+    since: Moment,
+) {
     private class Past(val at: Moment, val sent: Long, val prefill: Long, val running: Int, val kv: Long)
 
     val id = ServerId(server.name)
@@ -25,14 +29,22 @@
     private var ownRunning = 0
     private var ownKv = 0L
     private var otherPrefill = 0L
+    private var otherPrefillMean = 0.0
+    private var knownLately = 0.0
+    private var sentLately = 0.0
+    private var observedStep = 0.0
     private var otherRunning = 0
     private var otherKv = 0L
-    private var reportedAt = Moment.ZERO
+    private var reportedAt = since
     private var report: LoadReport? = null
 
     val role: EngineRole
         get() = report?.role ?: server.role
 
+    /** When the last report came, or the engine was first seen. */
+    val heardAt: Moment
+        get() = reportedAt
+
     val draining: Boolean
         get() = server.drain || (report?.draining ?: false)
 
@@ -51,29 +63,52 @@
     fun canDecode(): Boolean = role != EngineRole.PREFILL
 
     /** Seconds until the engine would begin with a further prompt. */
-    fun prefillWait(now: Moment): Double {
+    fun prefillWait(): Double {
+        val others = waits.trust * otherPrefill + (1 - waits.trust) * otherPrefillMean
+        return (ownPrefill + others) / profile.prefillRate(role, running)
+    }
+
+    /** The wait as the last report and as the usual report make it. */
+    fun predictWait(): WaitPrediction {
         val rate = profile.prefillRate(role, running)
-        val age = (now - reportedAt).toDouble(DurationUnit.SECONDS)
-        val others = maxOf(0.0, otherPrefill - rate * age)
-        return (ownPrefill + others) / rate
+        return WaitPrediction((ownPrefill + otherPrefill) / rate, (ownPrefill + otherPrefillMean) / rate)
     }
 
     fun prefillSeconds(tokens: Int): Double = tokens / profile.prefillRate(role, running)
 
-    /** Room to take a further prompt without queueing more than the bound. */
-    fun hasPrefillRoom(now: Moment): Boolean = prefillWait(now) <= settings.engineQueueSeconds
+    /**
+     * Room to take a further prompt. What this node has unread there, which it knows without delay, is bounded by
+     * its own part of the engine's work; so the engine's queue stays bounded however many nodes there are.
+     */
+    fun hasPrefillRoom(): Boolean {
+        if (prefillWait() > settings.engineQueueSeconds) return false
+        if (role == EngineRole.MIXED && running > 0 && observedStep > settings.betweenTokensMillis * MIXED_MOST) {
+            return false
+        }
+        if (ownPrefill == 0L) return true
+        return ownPrefill <= ownPart() * settings.engineQueueSeconds * profile.prefillRate(role, running)
+    }
 
     /** Room to decode a further sequence of [tokens] in all. */
-    fun hasDecodeRoom(tokens: Int): Boolean = running < profile.maxRunning && kvUsed + tokens <= kvTotal
+    fun hasDecodeRoom(tokens: Int): Boolean = running < profile.maxRunning &&
+        kvUsed + tokens <= kvTotal &&
+        (running == 0 || observedStep <= settings.betweenTokensMillis * DECODE_MOST)
 
     /** Expected seconds between tokens with one more sequence. */
-    fun stepSeconds(now: Moment): Double {
-        val busy = if (role == EngineRole.MIXED) minOf(1.0, prefillWait(now) / BUSY_SECONDS) else 0.0
-        return profile.stepSeconds(running + 1, (profile.mixedChunkTokens * busy).toInt())
+    fun stepSeconds(): Double = maxOf(profile.stepSeconds(running + 1, 0), observedStep / MILLIS)
+
+    /** The part of the engine's work that this node sent lately. */
+    private fun ownPart(): Double = if (knownLately < 1) 1.0 else (sentLately / knownLately).coerceIn(LEAST_PART, 1.0)
+
+    /** A sequence here got [tokens] tokens within [seconds]. */
+    fun stepped(tokens: Int, seconds: Double) {
+        val step = seconds * MILLIS / tokens
+        observedStep += (step - observedStep) * STEP_GAIN
     }
 
     fun prefillAdded(tokens: Int, now: Moment) {
         sent++
+        sentLately++
         ownPrefill += tokens
         remember(now)
     }
@@ -104,6 +139,8 @@
         reportedAt = now
         val then = pastOf(next, now)
         otherPrefill = maxOf(0, next.queuedPromptTokens - (then?.prefill ?: 0))
+        otherPrefillMean += (otherPrefill - otherPrefillMean) * MEAN_GAIN
+        if (last != null) learnPart(last, next)
         otherRunning = maxOf(0, next.runningRequests - (then?.running ?: 0))
         otherKv = maxOf(0, next.kvTokensUsed - (then?.kv ?: 0))
     }
@@ -118,9 +155,18 @@
         return history.lastOrNull { it.at <= made } ?: history.firstOrNull()
     }
 
+    private fun learnPart(last: LoadReport, next: LoadReport) {
+        if (last.incarnation != next.incarnation) return
+        knownLately = knownLately * PART_KEPT + (next.knownAttempts - last.knownAttempts)
+        sentLately *= PART_KEPT
+    }
+
     /** A new incarnation counts its attempts from 0. */
     private fun restarted() {
         sent = 0
+        sentLately = 0.0
+        knownLately = 0.0
+        observedStep = 0.0
         history.clear()
     }
 
@@ -131,9 +177,16 @@
     }
 
     private companion object {
-        /** A prefill backlog of this many seconds keeps a mixed engine reading in every step. */
-        const val BUSY_SECONDS = 0.3
         const val HISTORY_SECONDS = 10.0
         const val MAX_HISTORY = 4_096
+        const val MILLIS = 1_000.0
+        const val STEP_GAIN = 0.2
+        const val MEAN_GAIN = 0.02
+        const val PART_KEPT = 0.95
+        const val LEAST_PART = 0.02
+
+        /** Shares of the bound between tokens beyond which an engine reads or writes for no further request. */
+        const val MIXED_MOST = 0.75
+        const val DECODE_MOST = 0.9
     }
 }
--- a/src/main/kotlin/org/persimmonrelay/routing/EnginePool.kt
+++ b/src/main/kotlin/org/persimmonrelay/routing/EnginePool.kt
@@ -4,11 +4,17 @@
 import org.persimmonrelay.clock.Moment
 import org.persimmonrelay.engine.LoadReport
 import org.persimmonrelay.identity.ServerId
+import kotlin.time.Duration.Companion.seconds
 
 /** The engines that may serve a deployment, as this node sees them. Not thread-safe. */
-internal class EnginePool(private val settings: RoutingSettings, private val outliers: OutlierDetector) {
+internal class EnginePool(
+    private val settings: RoutingSettings,
+    private val outliers: OutlierDetector,
+    private val waits: WaitModel,
+) {
     private val engines = HashMap<ServerId, EngineEstimate>()
     private val domains = HashMap<ServerId, String>()
+    private var newestReport = Moment.ZERO
     private var prefilling: List<EngineEstimate> = emptyList()
     private var decodingByDomain: Map<String, List<EngineEstimate>> = emptyMap()
 
@@ -26,17 +32,19 @@
     /** Failure domain of a present or former engine. */
     fun domainOf(id: ServerId): String? = domains[id]
 
-    fun usable(engine: EngineEstimate, now: Moment): Boolean = !outliers.isEjected(engine.id, now)
+    /** Neither ejected nor silent for long while others report. */
+    fun usable(engine: EngineEstimate, now: Moment): Boolean =
+        engine.heardAt >= newestReport - settings.silentSeconds.seconds && !outliers.isEjected(engine.id, now)
 
-    fun hasPrefillRoom(now: Moment): Boolean = prefilling.any { it.hasPrefillRoom(now) && usable(it, now) }
+    fun hasPrefillRoom(now: Moment): Boolean = prefilling.any { it.hasPrefillRoom() && usable(it, now) }
 
-    fun serversAre(servers: List<BackendServer>) {
+    fun serversAre(servers: List<BackendServer>, now: Moment) {
         val names = servers.mapTo(HashSet()) { ServerId(it.name) }
         engines.keys.retainAll(names)
         servers.forEach { server ->
             val id = ServerId(server.name)
             domains[id] = server.domain
-            engines.getOrPut(id) { EngineEstimate(server, settings) }.server = server
+            engines.getOrPut(id) { EngineEstimate(server, settings, waits, now) }.server = server
         }
         if (domains.size > MAX_FORMER * (engines.size + 1)) domains.keys.retainAll(names)
         outliers.poolIs(names)
@@ -45,6 +53,7 @@
 
     fun reported(report: LoadReport, now: Moment) {
         val engine = engines[report.server] ?: return
+        newestReport = now
         val role = engine.role
         val draining = engine.draining
         engine.reported(report, now)
--- a/src/main/kotlin/org/persimmonrelay/routing/ExpectedTimeDispatcher.kt
+++ b/src/main/kotlin/org/persimmonrelay/routing/ExpectedTimeDispatcher.kt
@@ -30,7 +30,8 @@
 ) : Dispatcher {
     private val profile = settings.engine
     private val outliers = OutlierDetector(settings.outlier)
-    private val pool = EnginePool(settings, outliers)
+    private val waits = WaitModel()
+    private val pool = EnginePool(settings, outliers, waits)
     private val prefixes = PrefixDirectory()
     private val chooser = PlacementChooser(settings, pool, prefixes, random)
     private val queue = WaitingQueue(ledger)
@@ -38,6 +39,7 @@
     private val retries = RetryBudget(settings.retry, random)
     private val limits = LimitManager()
     private val outputs = OutputEstimator()
+    private val demand = DemandCounter()
     private val running = HashMap<RequestId, RunningAttempt>()
     private var sequence = 0L
     private var wakeAt: Moment? = null
@@ -46,6 +48,9 @@
     public val waitingRequests: Int
         get() = queue.size
 
+    /** The work asked of this node since the last call, refused requests included. */
+    public fun takeDemand(): Demand = demand.take()
+
     override fun on(event: DispatchEvent, now: Moment): List<DispatchAction> {
         val actions = ArrayList<DispatchAction>(2)
         admission.elapsed(!queue.isEmpty, now)
@@ -61,7 +66,7 @@
             is DispatchEvent.Ended -> ended(event, now)
             is DispatchEvent.Withdrawn -> queue.remove(event.id)
             is DispatchEvent.Reported -> pool.reported(event.report, now)
-            is DispatchEvent.ServersChanged -> pool.serversAre(event.servers)
+            is DispatchEvent.ServersChanged -> pool.serversAre(event.servers, now)
             is DispatchEvent.PeerConsumed -> peerConsumed(event.summary, now)
             is DispatchEvent.Woken -> wakeAt = null
         }
@@ -70,9 +75,11 @@
     private fun arrived(event: DispatchEvent.Arrived, now: Moment): DispatchAction? {
         val request = event.request
         if (event.attempt > 0 || event.outputSoFar > 0) return arrivedAgain(event, now)
+        if (event.failedServer == null) demand.arrived(request)
         val refusal = refusal(request, now)
         if (refusal != null) return DispatchAction.Refuse(request.id, refusal)
-        queue.add(waiting(event, null, now, latestStart(request)))
+        val avoid = event.failedServer?.let(pool::domainOf)
+        queue.add(waiting(event, avoid, now, latestStart(request)))
         return null
     }
 
@@ -115,9 +122,11 @@
         )
     }
 
-    /** The last moment at which an idle engine could still answer in time. */
-    private fun latestStart(request: DispatchRequest): Moment =
-        request.firstTokenBy - (request.promptTokens * profile.prefillCost + START_MARGIN_SECONDS).seconds
+    /** The last moment at which a start would still give the first token in time, as engines wait lately. */
+    private fun latestStart(request: DispatchRequest): Moment {
+        val wait = minOf(MAX_ENGINE_WAIT_SECONDS, waits.usualMost)
+        return request.firstTokenBy - (request.promptTokens * profile.prefillCost + wait + START_MARGIN_SECONDS).seconds
+    }
 
     private fun advance(now: Moment, actions: MutableList<DispatchAction>) {
         queue.expired(now).forEach { actions += ended(it) }
@@ -144,7 +153,8 @@
         val request = waiting.request
         queue.remove(request.id)
         if (waiting.attempt == 0) retries.started(request.workspace)
-        val attempt = RunningAttempt(waiting, choice.prefill, choice.decode, choice.cachedTokens)
+        val predicted = choice.prefill.predictWait()
+        val attempt = RunningAttempt(waiting, choice.prefill, choice.decode, choice.cachedTokens, predicted, now)
         running[request.id] = attempt
         choice.prefill.prefillAdded(attempt.readTokens, now)
         choice.decode.decodeAdded(waiting.kvTokens, now)
@@ -157,10 +167,20 @@
 
     private fun progressed(event: DispatchEvent.Progressed, now: Moment) {
         val attempt = running[event.id] ?: return
-        attempt.outputTokens = maxOf(attempt.outputTokens, event.outputTokens)
-        if (attempt.prefilled || event.outputTokens <= attempt.waiting.outputSoFar) return
+        val tokens = event.outputTokens - attempt.outputTokens
+        if (tokens <= 0) return
+        val seconds = (now - attempt.progressedAt).toDouble(DurationUnit.SECONDS)
+        attempt.outputTokens = event.outputTokens
+        attempt.progressedAt = now
+        if (attempt.prefilled) attempt.decode.stepped(tokens, seconds) else firstToken(attempt, event, seconds, now)
+    }
+
+    private fun firstToken(attempt: RunningAttempt, event: DispatchEvent.Progressed, seconds: Double, now: Moment) {
         attempt.prefilled = true
         attempt.prefill.prefillRemoved(attempt.readTokens, now)
+        val read = attempt.waiting.promptTokens - event.cachedTokens
+        waits.observed(attempt.predicted, seconds - attempt.prefill.prefillSeconds(read))
+        demand.read(attempt.waiting.promptTokens, event.cachedTokens)
         if (event.cachedTokens >= attempt.cachedTokens) return
         val found = event.cachedTokens / profile.blockTokens
         prefixes.corrected(attempt.prefill.id, attempt.waiting.request.prefixBlocks, found)
@@ -177,6 +197,7 @@
         val request = attempt.waiting.request
         if (event.end == AttemptEnd.DONE) {
             outputs.observed(request.workspace, request.maxOutputTokens, attempt.outputTokens)
+            demand.ended(request.maxOutputTokens, attempt.outputTokens)
         }
     }
 
@@ -219,6 +240,9 @@
         const val START_MARGIN_SECONDS = 0.1
         const val POLL_MILLIS = 20
 
+        /** Longest wait in an engine that is reckoned with, lest a slow spell refuse everything. */
+        const val MAX_ENGINE_WAIT_SECONDS = 1.0
+
         /** Workspaces whose first request is tried when that of the first one finds no room. */
         const val MAX_TRIED = 8
 
--- a/src/main/kotlin/org/persimmonrelay/routing/OutputEstimator.kt
+++ b/src/main/kotlin/org/persimmonrelay/routing/OutputEstimator.kt
@@ -10,19 +10,23 @@
                 size > MAX_WORKSPACES
         }
 
+    private var usual = INITIAL_SHARE
+    private var ended = 0L
+
     /** Output tokens expected of a request that may write [most]. */
-    fun expected(workspace: WorkspaceId, most: Int): Int =
-        maxOf(1, (most * (shares[workspace] ?: INITIAL_SHARE)).toInt())
+    fun expected(workspace: WorkspaceId, most: Int): Int = maxOf(1, (most * (shares[workspace] ?: usual)).toInt())
 
     fun observed(workspace: WorkspaceId, most: Int, written: Int) {
         if (most <= 0) return
         val share = minOf(1.0, written.toDouble() / most)
-        val before = shares[workspace] ?: INITIAL_SHARE
+        val before = shares[workspace] ?: usual
         shares[workspace] = before + (share - before) * GAIN
+        ended++
+        usual += (share - usual) * maxOf(GAIN, 1.0 / ended)
     }
 
     private companion object {
-        const val INITIAL_SHARE = 0.5
+        const val INITIAL_SHARE = 0.33
         const val GAIN = 0.05
         const val MAX_WORKSPACES = 20_000
         const val INITIAL_CAPACITY = 64
--- a/src/main/kotlin/org/persimmonrelay/routing/PlacementChooser.kt
+++ b/src/main/kotlin/org/persimmonrelay/routing/PlacementChooser.kt
@@ -54,14 +54,14 @@
     }
 
     private fun consider(engine: EngineEstimate, waiting: Waiting, now: Moment): Choice? {
-        if (!engine.hasPrefillRoom(now) || !pool.usable(engine, now)) return null
+        if (!engine.hasPrefillRoom() || !pool.usable(engine, now)) return null
         val decode = chooseDecode(engine, waiting, now) ?: return null
         val blocks = waiting.request.prefixBlocks
         val cached = minOf(prefixes.held(engine.id, blocks) * profile.blockTokens, waiting.promptTokens - 1)
         val reading = engine.prefillSeconds(waiting.promptTokens - cached)
         val region = if (engine.server.region == settings.region) 0.0 else settings.regionSeconds
         val transfer = if (decode === engine) 0.0 else profile.transferSeconds(waiting.promptTokens)
-        val expected = engine.prefillWait(now) + reading + region + transfer
+        val expected = engine.prefillWait() + reading + region + transfer
         return Choice(engine, decode, cached, expected)
     }
 
@@ -74,7 +74,7 @@
             if (!engine.hasDecodeRoom(tokens) || !pool.usable(engine, now)) continue
             val moved = if (engine === prefill) 0.0 else MOVE_PENALTY_SECONDS
             val mixed = if (prefill.role == EngineRole.PREFILL && engine.role == EngineRole.MIXED) moved else 0.0
-            val seconds = engine.stepSeconds(now) + moved + mixed
+            val seconds = engine.stepSeconds() + moved + mixed
             if (seconds < bestSeconds) {
                 best = engine
                 bestSeconds = seconds
--- a/src/main/kotlin/org/persimmonrelay/routing/RoutingSettings.kt
+++ b/src/main/kotlin/org/persimmonrelay/routing/RoutingSettings.kt
@@ -9,7 +9,8 @@
  * [region] is the node's own. [reportLagSeconds] is how old load reports are when they arrive.
  * [engineQueueSeconds] bounds the prefill backlog that a node gives to an engine; what is beyond waits in the
  * node, where fair share and deadlines still apply. [regionSeconds] is the price of leaving the region, as
- * seconds of waiting. [samples] is the count of candidates drawn at random.
+ * seconds of waiting. [samples] is the count of candidates drawn at random. An engine whose reports stopped
+ * [silentSeconds] before those of others gets no work.
  */
 @Serializable
 public data class RoutingSettings(
@@ -20,6 +21,7 @@
     val engineQueueSeconds: Double = 0.3,
     val regionSeconds: Double = 0.05,
     val samples: Int = 2,
+    val silentSeconds: Double = 4.0,
     val maxWaitingPerWorkspace: Int = 2_000,
     val retry: RetrySettings = RetrySettings(),
     val outlier: OutlierSettings = OutlierSettings(),
