--- a/src/main/kotlin/org/persimmonrelay/standin/FakePeerHub.kt
+++ b/src/main/kotlin/org/persimmonrelay/standin/FakePeerHub.kt
@@ -13,7 +13,7 @@
  *
  * A restarted node joins again under its old name with a new incarnation.
  */
-public class FakePeerHub(internal val scope: CoroutineScope, internal val random: Random) {
+public class FakePeerHub(internal val scope: CoroutineScope, public val random: Random) {
     /** Probability that one message, request or answer, is lost. */
     public var loss: Double = 0.0
 
