--- a/src/test/kotlin/org/persimmonrelay/entry/DispatchGateTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/entry/DispatchGateTest.kt
@@ -39,7 +39,7 @@
             }
         }
 
-        val placed = async { gate.place(REQUEST, 0) }
+        val placed = async { gate.place(DispatchEvent.Arrived(REQUEST)) }
 
         assertEquals(PLACEMENT, placed.await().getOrNull())
         assertEquals(300, currentTime)
@@ -56,7 +56,7 @@
             }
         }
 
-        val waiting = launch { gate.place(REQUEST, 0) }
+        val waiting = launch { gate.place(DispatchEvent.Arrived(REQUEST)) }
         testScheduler.advanceTimeBy(1_000)
 
         assertEquals(1, seen.count { it is DispatchEvent.Woken })
@@ -66,7 +66,7 @@
     @Test
     fun `a caller that leaves while it waits is withdrawn, one that was placed is ended`() = runTest {
         val gate = gate { _, _ -> emptyList() }
-        val waiting = launch { gate.place(REQUEST, 0) }
+        val waiting = launch { gate.place(DispatchEvent.Arrived(REQUEST)) }
         runCurrent()
         waiting.cancelAndJoin()
         assertEquals(DispatchEvent.Withdrawn(ID), seen.last())
@@ -75,7 +75,7 @@
         val placing = gate { event, _ ->
             if (event is DispatchEvent.Arrived) listOf(DispatchAction.Start(ID, PLACEMENT)) else emptyList()
         }
-        val placed = async { placing.place(REQUEST, 0) }
+        val placed = async { placing.place(DispatchEvent.Arrived(REQUEST)) }
         placed.await()
         placing.ended(ID, PLACEMENT.decode, AttemptEnd.CANCELLED)
         assertTrue(placing.isIdle)
