--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/measure/CpuGauge.kt
@@ -0,0 +1,26 @@
+package org.persimmonrelay.measure
+
+import com.sun.management.OperatingSystemMXBean
+import java.lang.management.ManagementFactory
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.nanoseconds
+
+/** Reads the processor time that was used. */
+internal object CpuGauge {
+    private val threads = ManagementFactory.getThreadMXBean()
+    private val process = ManagementFactory.getOperatingSystemMXBean() as OperatingSystemMXBean
+
+    /** Processor time that the calling thread spends in [work]. */
+    fun ofThread(work: () -> Unit): Duration {
+        val before = threads.currentThreadCpuTime
+        work()
+        return (threads.currentThreadCpuTime - before).nanoseconds
+    }
+
+    /** Processor time that the whole process spends while [work] runs. */
+    fun ofProcess(work: () -> Unit): Duration {
+        val before = process.processCpuTime
+        work()
+        return (process.processCpuTime - before).nanoseconds
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/measure/MeasureSuite.kt
@@ -0,0 +1,72 @@
+package org.persimmonrelay.measure
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import java.util.Locale
+
+/** What a suite found. */
+@Serializable
+public data class MeasureReport(val slopes: List<Slope>) {
+    /** The report as JSON. */
+    public fun toJson(): String = JSON.encodeToString(serializer(), this)
+
+    /** The report as a table, one slope a line and its readings below. */
+    public fun toTable(): String = buildString {
+        slopes.forEach { slope ->
+            val line = "%-34s %14s %s per %s, spread %s, at zero %s"
+            appendLine(
+                line.format(
+                    Locale.ROOT,
+                    slope.name,
+                    number(slope.slope),
+                    slope.what,
+                    slope.per,
+                    number(slope.spread),
+                    number(slope.intercept),
+                ),
+            )
+            slope.points.groupBy { it.x }.forEach { (x, same) ->
+                appendLine("    %12s: %s".format(Locale.ROOT, number(x), same.joinToString(" ") { number(it.y) }))
+            }
+        }
+    }
+
+    private fun number(value: Double) = String.format(
+        Locale.ROOT,
+        if (value in
+            -WHOLE..WHOLE
+        ) {
+            "%.4g"
+        } else {
+            "%.0f"
+        },
+        value,
+    )
+
+    private companion object {
+        const val WHOLE = 1_000.0
+        val JSON = Json { prettyPrint = true }
+    }
+}
+
+/** Runs measures one after the other. */
+public class MeasureSuite(private val measures: List<Measure>, private val onProgress: (String) -> Unit = {}) {
+    /** Runs the measures named [only], or all when it is empty. */
+    public fun run(only: Set<String> = emptySet()): MeasureReport {
+        val unknown = only - measures.map { it.name }.toSet()
+        require(unknown.isEmpty()) { "No measure is named $unknown; there are ${measures.map { it.name }}." }
+        val chosen = measures.filter { only.isEmpty() || it.name in only }
+        return MeasureReport(
+            chosen.flatMap {
+                onProgress("measuring ${it.name}")
+                it.run()
+            },
+        )
+    }
+
+    public companion object {
+        /** The measures of the parts that nodes share: members, gossip, peer calls, the time line. */
+        public fun ofMesh(): List<Measure> =
+            listOf(MemberMeasure(), MeshMeasure(), PeerCallMeasure(), TimelineMeasure())
+    }
+}
--- a/src/main/kotlin/org/persimmonrelay/timeline/TimelineRing.kt
+++ b/src/main/kotlin/org/persimmonrelay/timeline/TimelineRing.kt
@@ -19,21 +19,15 @@
     private val capacity: Int,
     private val clock: Clock,
     private val hybridClock: HybridClock = HybridClock(),
+    private val log: (EventCode, List<EventField>) -> Unit = ::logEvent,
 ) : EventSink {
     private val entries = ArrayDeque<TimelineEntry>()
     private var sequence = 0L
 
     override fun record(code: EventCode, vararg fields: EventField) {
-        keep(code, fields.toList())
-        val arguments =
-            arrayOf(
-                kv("event", code.name),
-                kv("number", code.number),
-                *fields.map {
-                    kv(it.name, it.value)
-                }.toTypedArray(),
-            )
-        LOGGER.info(code.summary + " {}".repeat(arguments.size), *arguments)
+        val kept = fields.toList()
+        keep(code, kept)
+        log(code, kept)
     }
 
     /** Events after [sequence], oldest first, at most [limit]. */
@@ -51,8 +45,12 @@
         entries += TimelineEntry(at, node, incarnation, sequence, code.number, code.name, code.summary, fields)
         if (entries.size > capacity) entries.removeFirst()
     }
+}
 
-    private companion object {
-        val LOGGER = LoggerFactory.getLogger("org.persimmonrelay.events")
-    }
+private val LOGGER = LoggerFactory.getLogger("org.persimmonrelay.events")
+
+/** Writes one event to the JSON log, with its number and fields as structured arguments. */
+private fun logEvent(code: EventCode, fields: List<EventField>) {
+    val arguments = listOf(kv("event", code.name), kv("number", code.number)) + fields.map { kv(it.name, it.value) }
+    LOGGER.info(code.summary + " {}".repeat(arguments.size), *arguments.toTypedArray())
 }
--- /dev/null
+++ b/src/test/kotlin/org/persimmonrelay/membership/EngineSummariesTest.kt
@@ -0,0 +1,80 @@
+package org.persimmonrelay.membership
+
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.persimmonrelay.engine.EngineRole
+import org.persimmonrelay.engine.LoadReport
+import org.persimmonrelay.identity.NodeId
+import org.persimmonrelay.identity.Region
+import org.persimmonrelay.identity.ServerId
+import org.persimmonrelay.standin.VirtualMesh
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+
+class EngineSummariesTest {
+    private val mesh = VirtualMesh(seed = 5)
+    private val engines = List(20) { ServerId("engine-$it") }
+    private val north = Region("north")
+
+    @AfterEach
+    fun close() = mesh.close()
+
+    @Test
+    fun `each engine has one collector and every node of the region knows its load`() {
+        val summaries = start()
+
+        val collectors = engines.map { engine -> summaries.values.count { it.collects(engine, north) } }
+        publish(summaries)
+        mesh.advance(8.seconds)
+
+        assertEquals(List(engines.size) { 1 }, collectors)
+        val expected = engines.associateWith(::report)
+        summaries.values.forEach { assertEquals(expected, runBlocking { it.reports.first() }) }
+    }
+
+    @Test
+    fun `engines of a killed collector are collected by another`() {
+        val summaries = start()
+        publish(summaries)
+        mesh.advance(8.seconds)
+        mesh.kill(NodeId("node-2"))
+        val left = summaries - NodeId("node-2")
+        mesh.advance(25.seconds)
+
+        publish(left)
+        mesh.advance(8.seconds)
+
+        left.values.forEach { assertEquals(engines.toSet(), runBlocking { it.reports.first() }.keys) }
+    }
+
+    private fun start(): Map<NodeId, EngineSummaries> {
+        val summaries =
+            List(5) { mesh.start("node-$it", north.value) }
+                .associate { it.place.address.node to EngineSummaries(it.parts.membership, it.parts.gossip) }
+        mesh.advance(20.seconds)
+        return summaries
+    }
+
+    private fun publish(summaries: Map<NodeId, EngineSummaries>) =
+        summaries.values.forEach { node -> node.publish(engines.filter { node.collects(it, north) }.map(::report)) }
+
+    private fun report(engine: ServerId): LoadReport {
+        val number = engine.value.removePrefix("engine-").toLong()
+        return LoadReport(
+            server = engine,
+            incarnation = "boot-$number",
+            sequence = number + 1,
+            role = EngineRole.MIXED,
+            models = listOf("planner-llm"),
+            queuedPromptTokens = number * 1_000,
+            runningRequests = number.toInt(),
+            remainingOutputTokens = number * 100,
+            kvTokensUsed = number * 5_000,
+            kvTokensTotal = 400_000,
+            knownAttempts = number * 10,
+            draining = number == 3L,
+        )
+    }
+}
