--- a/src/main/kotlin/org/persimmonrelay/membership/SwimMachine.kt
+++ b/src/main/kotlin/org/persimmonrelay/membership/SwimMachine.kt
@@ -128,15 +128,23 @@
     }
 
     private fun askHelpers(id: Long, probe: Probe, target: MemberRecord): Boolean {
-        val helpers =
-            probed().filter { it.node != target.node && it.state != MemberState.SUSPECT }.shuffled(random)
-                .take(settings.helpers)
+        val helpers = helpersFor(target)
         probe.indirect = true
         probe.open = helpers.size
         helpers.forEach { actions += SwimAction.PingThrough(id, it.address, target.address) }
         return helpers.isNotEmpty()
     }
 
+    /** Members of the target's region first: the others may be cut off from it. */
+    private fun helpersFor(target: MemberRecord): List<MemberRecord> {
+        val able = table.all.filter { it.state.isServing && it.state != MemberState.SUSPECT }
+        val (near, far) = able.filter { it.node != target.node && it.node != self.node }.partition {
+            it.region ==
+                target.region
+        }
+        return (near.shuffled(random) + far.shuffled(random)).take(settings.helpers)
+    }
+
     private fun suspect(target: MemberRecord, now: Moment) {
         suspicions[target.node] = Suspicion(now + settings.suspicion, own = true)
         accept(target.copy(state = MemberState.SUSPECT), now)
