Try the law on withdrawn keys in random schedules

Cause: isolated nodes must stop admitting a withdrawn key within ten seconds. Change: schedules of withdrawals and faults on the real service; faults and operators crowd into a few seconds in half of them; peers are asked in turns, so that what one node knows is found within a round.

--- a/src/main/kotlin/org/persimmonrelay/catalog/CatalogFollower.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/CatalogFollower.kt
@@ -14,8 +14,6 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.persimmonrelay.clock.Clock
-import org.persimmonrelay.membership.Member
-import org.persimmonrelay.membership.MemberState
 import org.persimmonrelay.timeline.EventSink
 import org.persimmonrelay.timeline.with
 import kotlin.random.Random
@@ -35,6 +33,7 @@
     private val events: EventSink,
 ) {
     private val loaded = MutableStateFlow(false)
+    private val turns = AskTurns(random)
     private var storeAnswers = true
     private var wasFresh = true
 
@@ -69,7 +68,7 @@
             delay(ASK_EVERY)
             noteReady()
             noteFreshness()
-            if (!isStoreConfirmed()) pickMember()?.let { scope.launch { peers.ask(it) } }
+            if (!isStoreConfirmed()) turns.next(peers.others())?.let { scope.launch { peers.ask(it) } }
         }
     }
 
@@ -78,12 +77,6 @@
         return age < pollEvery * CONFIRMED_POLLS
     }
 
-    private fun pickMember(): Member? {
-        val (failed, seen) = peers.others().partition { it.state == MemberState.FAILED }
-        val wantsFailed = seen.isEmpty() || random.nextInt(ASKS_PER_FAILED) == 0
-        return (if (wantsFailed) failed else seen).randomOrNull(random) ?: seen.randomOrNull(random)
-    }
-
     private fun noteReady() {
         if (loaded.value || !guard.started) return
         loaded.value = true
@@ -107,7 +100,6 @@
         const val SHORTEST_JITTER = 0.8
         const val LONGEST_JITTER = 1.1
         const val CONFIRMED_POLLS = 1.5
-        const val ASKS_PER_FAILED = 8
         val ASK_EVERY = 500.milliseconds
         val POLL_TIMEOUT = 5.seconds
     }
--- a/src/main/kotlin/org/persimmonrelay/experiment/laws/ConfigFault.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/laws/ConfigFault.kt
@@ -49,19 +49,37 @@
     companion object {
         private val LONGEST = 16.seconds
         private val SHORTEST = 200.milliseconds
-        private const val MAX_FAULTS = 6
+        private const val MAX_REPEATS = 4
         private const val MAX_COUNT = 3
 
-        /** Up to six faults to [nodes] nodes that begin within [within]. */
-        fun plan(random: Random, nodes: Int, within: Duration): List<ConfigFault> =
-            List(1 + random.nextInt(MAX_FAULTS)) { draw(random, nodes, within) }.sortedBy { it.at }
+        /** Faults to [nodes] nodes that begin within [window]: one or two kinds, each up to four times. */
+        fun plan(random: Random, nodes: Int, window: FaultWindow): List<ConfigFault> =
+            ConfigFaultKind.entries.shuffled(random).take(1 + random.nextInt(2)).flatMap { kind ->
+                List(1 + random.nextInt(MAX_REPEATS)) { draw(kind, random, nodes, window.draw(random)) }
+            }
 
-        private fun draw(random: Random, nodes: Int, within: Duration) = ConfigFault(
-            kind = ConfigFaultKind.entries.random(random),
-            at = within * random.nextDouble(),
+        private fun draw(kind: ConfigFaultKind, random: Random, nodes: Int, at: Duration) = ConfigFault(
+            kind = kind,
+            at = at,
             duration = SHORTEST + (LONGEST - SHORTEST) * random.nextDouble(),
             victims = (0 until nodes).shuffled(random).take(1 + random.nextInt(nodes - 1)),
             count = 1 + random.nextInt(MAX_COUNT),
         )
     }
 }
+
+/** When faults begin and operators act: from [from] for [length]. */
+internal class FaultWindow(private val from: Duration, private val length: Duration) {
+    /** A moment in the window, as time since the start. */
+    fun draw(random: Random): Duration = from + length * random.nextDouble()
+
+    companion object {
+        private val CROWD = 6.seconds
+
+        /** The whole of [within] after [from], or in half of the cases a few seconds of it. */
+        fun of(random: Random, from: Duration, within: Duration): FaultWindow {
+            if (random.nextBoolean()) return FaultWindow(from, within)
+            return FaultWindow(from + (within - CROWD) * random.nextDouble(), CROWD)
+        }
+    }
+}
--- a/src/main/kotlin/org/persimmonrelay/experiment/laws/ConfigLaw.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/laws/ConfigLaw.kt
@@ -1,10 +1,11 @@
 /*
  * The law on configuration, tried on the real service in virtual time: a few nodes around one table, operators
- * that race each other at random nodes, and up to six faults. After every event and at the end it is checked that
+ * that race each other at random nodes, and faults alone and in pairs. After every event and at the end it is checked that
  *
  *  - no node goes back to an older version, and one version has the same content everywhere;
  *  - an accepted change is never lost, and a refused one never made;
- *  - an accepted change is in force within seven seconds on every node that the store or the accepting node reached;
+ *  - an accepted change is in force within seven seconds on every node that the stores, the accepting node or a node
+ *    in between reached;
  *  - a node that has started again and is ready has every change that was confirmed before it started;
  *  - once all faults are over, all nodes are ready and have the same content.
  */
@@ -45,15 +46,15 @@
 
     /** What was broken first, or null. */
     fun run(): String? {
-        world.start(FAULTS_WITHIN)
-        repeat(1 + random.nextInt(MAX_CHANGES)) { number -> scheduleChange(number) }
+        val window = world.start(EARLIEST, FAULTS_WITHIN)
+        repeat(1 + random.nextInt(MAX_CHANGES)) { number -> scheduleChange(number, window) }
         world.time.runUntil(Moment.ZERO + LENGTH, ::checkVersions)
         checkEnd()
         return broken
     }
 
-    private fun scheduleChange(number: Int) {
-        val at = (EARLIEST + FAULTS_WITHIN * random.nextDouble()).inWholeSeconds.seconds
+    private fun scheduleChange(number: Int, window: FaultWindow) {
+        val at = window.draw(random).inWholeSeconds.seconds
         val place = world.places.random(random)
         val jitter = RACE_SPREAD * random.nextDouble()
         world.time.after(at + jitter) { put("w$number", place) }
@@ -97,7 +98,7 @@
 
     private fun checkInForce(change: TriedChange) {
         world.running.forEach { life ->
-            val reached = world.reached(life.place, change.place, change.ended, change.began, change.ended)
+            val reached = world.reached(life.place, change.place, change.began, change.ended)
             if (!reached || life.began > change.began || !life.node.ready) return@forEach
             expect(change.name in life.node.names) { "node ${life.place} lacks ${change.name} after 7 s" }
         }
@@ -132,9 +133,9 @@
 
     private companion object {
         const val MAX_CHANGES = 14
-        val EARLIEST = 2.seconds
-        val FAULTS_WITHIN = 25.seconds
-        val LENGTH = 70.seconds
+        val EARLIEST = 3.seconds
+        val FAULTS_WITHIN = 22.seconds
+        val LENGTH = 54.seconds
         val RACE_SPREAD = 30.milliseconds
         val IN_FORCE_WITHIN: Duration = 7.seconds
     }
--- a/src/main/kotlin/org/persimmonrelay/experiment/laws/ConfigWorld.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/laws/ConfigWorld.kt
@@ -40,23 +40,44 @@
     val places: IntRange
         get() = 0 until nodes
 
-    /** Starts the nodes, and the faults of the first [within]. */
-    fun start(within: Duration) {
+    /** Starts the nodes, and faults that begin within [within] after [from]; returns the window of the faults. */
+    fun start(from: Duration, within: Duration): FaultWindow {
+        val window = FaultWindow.of(random, from, within)
         lives.fill(1)
         publishMembers()
         places.forEach { running += newLife(it) }
-        ConfigFault.plan(random, nodes, within).forEach { fault -> time.after(START + fault.at) { begin(fault) } }
+        ConfigFault.plan(random, nodes, window).forEach { fault -> time.after(fault.at) { begin(fault) } }
+        return window
     }
 
     /**
-     * True when the node at [place] was running and either the stores or the node at [from] reached it: the stores
-     * from [storeSince] to now, or the other node from [peerSince] to [peerUntil].
+     * True when a change that the node at [from] took from [began] to [ended] must have reached the node at [place]
+     * by now: from the stores, by a push, or through a node that it reached in one of these ways.
      */
-    fun reached(place: Int, from: Int, storeSince: Moment, peerSince: Moment, peerUntil: Moment): Boolean {
-        if (disturbances.node(place, peerSince)) return false
-        val byStore = !disturbances.store(place, storeSince)
-        val byPeer = !disturbances.link(place, from, peerSince, peerUntil)
-        return byStore || byPeer
+    fun reached(place: Int, from: Int, began: Moment, ended: Moment): Boolean {
+        if (disturbances.node(place, began)) return false
+        if (reachedDirectly(place, from, began, ended)) return true
+        return (places - place).any { third ->
+            reachedDirectly(third, from, began, ended) &&
+                !disturbances.link(place, third, ended, time.now)
+        }
+    }
+
+    /** True when the stores or a push must have taken the change to the node at [place] by now. */
+    fun reachedDirectly(place: Int, from: Int, began: Moment, ended: Moment): Boolean {
+        if (disturbances.node(place, began)) return false
+        return !disturbances.store(place, ended - STORE_RECOVERY) || !disturbances.link(place, from, began, ended)
+    }
+
+    /** True when [life] and a majority of the nodes have run and reached each other for [since]. */
+    fun seesMajority(life: NodeLife, since: Duration): Boolean {
+        val from = time.now - since
+        val settled = running.filter {
+            it.node.ready && it.began < from && !disturbances.node(it.place, from)
+        }
+        if (life !in settled) return false
+        val linked = settled.count { it === life || !disturbances.link(life.place, it.place, from, time.now) }
+        return linked * 2 > nodes
     }
 
     private fun begin(fault: ConfigFault) {
@@ -167,7 +188,9 @@
         const val PLACES = 1_000L
         const val LIVES = 50
         const val DUPLICATES = 0.5
-        val START = 3.seconds
+
+        /** A node that found the stores down may try them again only after this time. */
+        val STORE_RECOVERY = 5.seconds
         val EXTRA_DELAY = 900.milliseconds
         val LONGEST_RESTART = 5.seconds
     }
--- a/src/main/kotlin/org/persimmonrelay/experiment/laws/LawExperiment.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/laws/LawExperiment.kt
@@ -3,7 +3,8 @@
 /** Runs every law. */
 public object LawExperiment {
     /** All laws that have an experiment. */
-    public val laws: List<Law> = listOf(LeaseLaw.LAW, UsageLaw.LAW, OnceLaw.LAW, NotRunLaw.LAW)
+    public val laws: List<Law> =
+        listOf(LeaseLaw.LAW, UsageLaw.LAW, OnceLaw.LAW, NotRunLaw.LAW, ConfigLaw, KeyFreshnessLaw)
 
     /** Runs [schedules] schedules in all, shared evenly between the laws, from [seed]. */
     public fun run(schedules: Int, seed: Long): List<LawResult> {
