Divide a full pool among nodes by max-min shares

Cause: in a flood the nodes raced for freed room as reports showed it, engines were overfilled, and a node's own old reading of the time between tokens closed an engine for good. Change: nodes tell what each workspace asks for; each works out the same weighted max-min shares and keeps to its part of a nearly full engine; readings of the time between tokens expire.

--- a/src/main/kotlin/org/persimmonrelay/experiment/EntryNode.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/EntryNode.kt
@@ -1,5 +1,6 @@
 package org.persimmonrelay.experiment
 
+import org.persimmonrelay.clock.Moment
 import org.persimmonrelay.fairness.FairShareLedger
 import org.persimmonrelay.fairness.ShareSummary
 import org.persimmonrelay.identity.DeploymentId
@@ -20,8 +21,8 @@
     private val ledger: FairShareLedger?,
 ) {
     /** What to tell the other nodes, if this arm tells anything. */
-    fun summary(deployment: String): ShareSummary? =
-        ledger?.summary(NodeId("node-$index"), Incarnation("1"), DeploymentId(deployment))
+    fun summary(deployment: String, now: Moment): ShareSummary? =
+        ledger?.summary(NodeId("node-$index"), Incarnation("1"), DeploymentId(deployment), now)
 
     fun takeDemand(): Demand = (dispatcher as? ExpectedTimeDispatcher)?.takeDemand() ?: Demand.NONE
 
--- a/src/main/kotlin/org/persimmonrelay/experiment/ServingRun.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/ServingRun.kt
@@ -202,7 +202,7 @@
         val demand = nodes.map { it.takeDemand() }.fold(Demand.NONE, Demand::plus)
         roles.tick(fleet.engines.filterNot { fleet.isGone(it) }, demand)
         nodes.forEach { from ->
-            val summary = from.summary(trace.deployment.name) ?: return@forEach
+            val summary = from.summary(trace.deployment.name, loop.now) ?: return@forEach
             val open = nodes.filter { it !== from && !fleet.isCut(it.region, from.region) }
             loop.after(GOSSIP_SECONDS) { open.forEach { dispatch(it.index, DispatchEvent.PeerConsumed(summary)) } }
         }
--- a/src/main/kotlin/org/persimmonrelay/fairness/FairShareLedger.kt
+++ b/src/main/kotlin/org/persimmonrelay/fairness/FairShareLedger.kt
@@ -5,11 +5,14 @@
  */
 package org.persimmonrelay.fairness
 
+import org.persimmonrelay.clock.Moment
 import org.persimmonrelay.identity.DeploymentId
 import org.persimmonrelay.identity.Incarnation
 import org.persimmonrelay.identity.NodeId
 import org.persimmonrelay.identity.WorkspaceId
 import java.util.TreeSet
+import kotlin.math.exp
+import kotlin.time.DurationUnit
 
 /** Consumption of one deployment by workspace, over all nodes as far as told. Not thread-safe. */
 public class FairShareLedger(private val settings: FairShareSettings = FairShareSettings()) {
@@ -18,7 +21,11 @@
     private val accounts = HashMap<WorkspaceId, ShareAccount>()
     private val backlogged = TreeSet<ShareAccount>(compareBy({ it.virtualTime }, { it.workspace.value }))
     private val newest = HashMap<NodeId, Told>()
+    private val parts = FairParts()
     private var systemTime = 0.0
+    private var startedCost = 0.0
+    private var served = 0.0
+    private var measuredAt: Moment? = null
     private var sequence = 0L
 
     /** Virtual time at which a workspace restarts that was idle for long. */
@@ -51,11 +58,21 @@
     /** Workspaces with requests waiting, the one to serve next first. */
     public fun order(): Sequence<WorkspaceId> = backlogged.asSequence().map { it.workspace }
 
+    /** This node's part of the pool when the pool is full, 0 to 1. */
+    public val part: Double
+        get() = parts.part
+
+    /** A request of [workspace] arrived that would cost [cost] engine seconds, whether it is refused or not. */
+    public fun asked(workspace: WorkspaceId, weight: Int, cost: Double) {
+        account(workspace, weight).asked += cost
+    }
+
     /** A request of [workspace] starts here that costs [cost] engine seconds and [tokens], as estimated. */
     public fun started(workspace: WorkspaceId, weight: Int, cost: Double, tokens: Long) {
         val account = account(workspace, weight)
         if (account.waiting) systemTime = maxOf(systemTime, account.virtualTime)
         account.running++
+        startedCost += cost
         use(account, cost, tokens)
     }
 
@@ -69,24 +86,41 @@
     /** Engine seconds per unit of weight that [workspace] is ahead of the one served last. */
     public fun lead(workspace: WorkspaceId): Double = (accounts[workspace]?.virtualTime ?: oldest) - systemTime
 
-    /** What to tell the peers now. */
-    public fun summary(node: NodeId, incarnation: Incarnation, deployment: DeploymentId): ShareSummary {
-        val due = accounts.values.filter { it.untoldCost != 0.0 || it.untoldTokens != 0L }
-        val top = due.sortedByDescending { it.untoldCost }.take(settings.summaryEntries)
+    /** What to tell the peers now; to be called about once a second, also when there are no peers. */
+    public fun summary(node: NodeId, incarnation: Incarnation, deployment: DeploymentId, now: Moment): ShareSummary {
+        measure(now)
+        val due = accounts.values.filter { it.untoldCost != 0.0 || it.demand > 0 }
+        val top = due.sortedByDescending { it.untoldCost + it.demand }.take(settings.summaryEntries)
+        val restDemand = due.sumOf { it.demand } - top.sumOf { it.demand }
         val entries = top.map { it.tell() }
-        forgetIdle()
-        return ShareSummary(node, incarnation, ++sequence, deployment, entries, due.sumOf { it.untoldCost })
+        val summary = ShareSummary(node, incarnation, ++sequence, deployment, entries, maxOf(0.0, restDemand), served)
+        parts.update(summary, now)
+        accounts.values.removeIf { it.settled() && it.virtualTime <= oldest }
+        return summary
     }
 
     /** Takes in what a peer told; false when the summary is a repeated or an overtaken one and has no effect. */
-    public fun absorb(summary: ShareSummary): Boolean {
+    public fun absorb(summary: ShareSummary, now: Moment): Boolean {
         val last = newest[summary.node]
         if (last != null && last.incarnation == summary.incarnation && last.sequence >= summary.sequence) return false
         newest[summary.node] = Told(summary.incarnation, summary.sequence)
+        parts.told(summary, now)
         summary.top.forEach { entry -> move(account(entry.workspace, null), entry.cost) }
         return true
     }
 
+    private fun measure(now: Moment) {
+        val before = measuredAt
+        measuredAt = now
+        if (before == null) return
+        val seconds = (now - before).toDouble(DurationUnit.SECONDS)
+        if (seconds <= 0) return
+        val gain = 1 - exp(-seconds / settings.demandSeconds)
+        accounts.values.forEach { it.measure(seconds, gain) }
+        served += (startedCost / seconds - served) * gain
+        startedCost = 0.0
+    }
+
     private fun use(account: ShareAccount, cost: Double, tokens: Long) {
         account.untoldCost += cost
         account.untoldTokens += tokens
@@ -105,8 +139,4 @@
         if (weight != null && !account.waiting) account.weight = maxOf(1, weight)
         return account
     }
-
-    private fun forgetIdle() {
-        accounts.values.removeIf { it.settled() && it.virtualTime <= oldest }
-    }
 }
--- a/src/main/kotlin/org/persimmonrelay/fairness/ShareSummary.kt
+++ b/src/main/kotlin/org/persimmonrelay/fairness/ShareSummary.kt
@@ -6,15 +6,26 @@
 import org.persimmonrelay.identity.NodeId
 import org.persimmonrelay.identity.WorkspaceId
 
-/** What one workspace used on one node since the node's last summary that named it. [cost] is in engine seconds. */
+/**
+ * One workspace on one node: what it used since the node's last summary that named it, and what it asks for.
+ * [cost] is in engine seconds, [demand] in engine seconds per second, refused requests included.
+ */
 @Serializable
-public data class ShareEntry(val workspace: WorkspaceId, val cost: Double, val tokens: Long, val running: Int)
+public data class ShareEntry(
+    val workspace: WorkspaceId,
+    val weight: Int,
+    val cost: Double,
+    val tokens: Long,
+    val running: Int,
+    val demand: Double,
+)
 
 /**
  * One node's consumption of one deployment, told to its peers about once a second.
  *
- * [top] names at most a fixed count of workspaces, those with the most cost not yet told; [restCost] is the sum
- * of the others, which stay due for a later summary. A summary whose [sequence] is not new is ignored.
+ * [top] names at most a fixed count of workspaces, those with the most to tell; the cost of the others stays due
+ * for a later summary, and [restDemand] is the sum of what they ask for. [served] is what the node starts, in
+ * engine seconds per second. A summary whose [sequence] is not new is ignored.
  */
 @Serializable
 public data class ShareSummary(
@@ -23,5 +34,6 @@
     val sequence: Long,
     val deployment: DeploymentId,
     val top: List<ShareEntry>,
-    val restCost: Double,
+    val restDemand: Double,
+    val served: Double,
 )
--- a/src/main/kotlin/org/persimmonrelay/routing/AdmissionController.kt
+++ b/src/main/kotlin/org/persimmonrelay/routing/AdmissionController.kt
@@ -47,7 +47,7 @@
         if (queue.isEmpty) return 0.0
         val rate = serviceRate()
         val others = ledger.backloggedWeight - if (queue.count(workspace) > 0) weight else 0
-        val owed = maxOf(0.0, ledger.lead(workspace)) * others
+        val owed = maxOf(0.0, ledger.lead(workspace)) * others * ledger.part
         val share = queue.cost(workspace) * (others + weight) / weight
         return minOf(queue.totalCost, share + owed) / rate
     }
--- a/src/main/kotlin/org/persimmonrelay/routing/EngineEstimate.kt
+++ b/src/main/kotlin/org/persimmonrelay/routing/EngineEstimate.kt
@@ -5,6 +5,7 @@
 import org.persimmonrelay.engine.EngineProfile
 import org.persimmonrelay.engine.EngineRole
 import org.persimmonrelay.engine.LoadReport
+import org.persimmonrelay.fairness.FairShareLedger
 import org.persimmonrelay.identity.ServerId
 import kotlin.time.Duration.Companion.seconds
 
@@ -16,6 +17,7 @@
     var server: BackendServer,
     private val settings: RoutingSettings,
     private val waits: WaitModel,
+    private val ledger: FairShareLedger,
     since: Moment,
 ) {
     private class Past(val at: Moment, val sent: Long, val prefill: Long, val running: Int, val kv: Long)
@@ -30,9 +32,8 @@
     private var ownKv = 0L
     private var otherPrefill = 0L
     private var otherPrefillMean = 0.0
-    private var knownLately = 0.0
-    private var sentLately = 0.0
     private var observedStep = 0.0
+    private var steppedAt = since
     private var otherRunning = 0
     private var otherKv = 0L
     private var reportedAt = since
@@ -80,35 +81,41 @@
      * Room to take a further prompt. What this node has unread there, which it knows without delay, is bounded by
      * its own part of the engine's work; so the engine's queue stays bounded however many nodes there are.
      */
-    fun hasPrefillRoom(): Boolean {
+    fun hasPrefillRoom(now: Moment): Boolean {
         if (prefillWait() > settings.engineQueueSeconds) return false
-        if (role == EngineRole.MIXED && running > 0 && observedStep > settings.betweenTokensMillis * MIXED_MOST) {
-            return false
-        }
+        if (role == EngineRole.MIXED && stepMillis(now) > settings.betweenTokensMillis * MIXED_MOST) return false
         if (ownPrefill == 0L) return true
-        return ownPrefill <= ownPart() * settings.engineQueueSeconds * profile.prefillRate(role, running)
+        return ownPrefill <= ledger.part * settings.engineQueueSeconds * profile.prefillRate(role, running)
     }
 
-    /** Room to decode a further sequence of [tokens] in all. */
-    fun hasDecodeRoom(tokens: Int): Boolean = running < profile.maxRunning &&
-        kvUsed + tokens <= kvTotal &&
-        (running == 0 || observedStep <= settings.betweenTokensMillis * DECODE_MOST)
+    /**
+     * Room to decode a further sequence of [tokens] in all. Near the engine's limit a node keeps to its part, lest
+     * all nodes go for the same room at once when a report shows it.
+     */
+    fun hasDecodeRoom(tokens: Int, now: Moment): Boolean {
+        if (stepMillis(now) > settings.betweenTokensMillis * DECODE_MOST) return false
+        val part = ledger.part
+        val sequences = ownRunning + 1 <= part * profile.maxRunning || running + 1 <= NEAR_LIMIT * profile.maxRunning
+        return sequences && (ownKv + tokens <= part * kvTotal || kvUsed + tokens <= NEAR_LIMIT * kvTotal)
+    }
 
     /** Expected seconds between tokens with one more sequence. */
-    fun stepSeconds(): Double = maxOf(profile.stepSeconds(running + 1, 0), observedStep / MILLIS)
+    fun stepSeconds(now: Moment): Double = maxOf(profile.stepSeconds(running + 1, 0), stepMillis(now) / MILLIS)
 
-    /** The part of the engine's work that this node sent lately. */
-    private fun ownPart(): Double = if (knownLately < 1) 1.0 else (sentLately / knownLately).coerceIn(LEAST_PART, 1.0)
+    /** Time between tokens as this node's own sequences had it just now; 0 when they say nothing. */
+    private fun stepMillis(now: Moment): Double =
+        if (ownRunning > 0 && now - steppedAt <= STEP_VALID_SECONDS.seconds) observedStep else 0.0
 
     /** A sequence here got [tokens] tokens within [seconds]. */
-    fun stepped(tokens: Int, seconds: Double) {
+    fun stepped(tokens: Int, seconds: Double, now: Moment) {
         val step = seconds * MILLIS / tokens
-        observedStep += (step - observedStep) * STEP_GAIN
+        val gain = if (stepMillis(now) > 0) STEP_GAIN else 1.0
+        observedStep += (step - observedStep) * gain
+        steppedAt = now
     }
 
     fun prefillAdded(tokens: Int, now: Moment) {
         sent++
-        sentLately++
         ownPrefill += tokens
         remember(now)
     }
@@ -140,7 +147,6 @@
         val then = pastOf(next, now)
         otherPrefill = maxOf(0, next.queuedPromptTokens - (then?.prefill ?: 0))
         otherPrefillMean += (otherPrefill - otherPrefillMean) * MEAN_GAIN
-        if (last != null) learnPart(last, next)
         otherRunning = maxOf(0, next.runningRequests - (then?.running ?: 0))
         otherKv = maxOf(0, next.kvTokensUsed - (then?.kv ?: 0))
     }
@@ -155,17 +161,9 @@
         return history.lastOrNull { it.at <= made } ?: history.firstOrNull()
     }
 
-    private fun learnPart(last: LoadReport, next: LoadReport) {
-        if (last.incarnation != next.incarnation) return
-        knownLately = knownLately * PART_KEPT + (next.knownAttempts - last.knownAttempts)
-        sentLately *= PART_KEPT
-    }
-
     /** A new incarnation counts its attempts from 0. */
     private fun restarted() {
         sent = 0
-        sentLately = 0.0
-        knownLately = 0.0
         observedStep = 0.0
         history.clear()
     }
@@ -181,9 +179,9 @@
         const val MAX_HISTORY = 4_096
         const val MILLIS = 1_000.0
         const val STEP_GAIN = 0.2
+        const val STEP_VALID_SECONDS = 1.5
         const val MEAN_GAIN = 0.02
-        const val PART_KEPT = 0.95
-        const val LEAST_PART = 0.02
+        const val NEAR_LIMIT = 0.85
 
         /** Shares of the bound between tokens beyond which an engine reads or writes for no further request. */
         const val MIXED_MOST = 0.75
--- a/src/main/kotlin/org/persimmonrelay/routing/EnginePool.kt
+++ b/src/main/kotlin/org/persimmonrelay/routing/EnginePool.kt
@@ -3,6 +3,7 @@
 import org.persimmonrelay.catalog.BackendServer
 import org.persimmonrelay.clock.Moment
 import org.persimmonrelay.engine.LoadReport
+import org.persimmonrelay.fairness.FairShareLedger
 import org.persimmonrelay.identity.ServerId
 import kotlin.time.Duration.Companion.seconds
 
@@ -11,6 +12,7 @@
     private val settings: RoutingSettings,
     private val outliers: OutlierDetector,
     private val waits: WaitModel,
+    private val ledger: FairShareLedger,
 ) {
     private val engines = HashMap<ServerId, EngineEstimate>()
     private val domains = HashMap<ServerId, String>()
@@ -36,7 +38,7 @@
     fun usable(engine: EngineEstimate, now: Moment): Boolean =
         engine.heardAt >= newestReport - settings.silentSeconds.seconds && !outliers.isEjected(engine.id, now)
 
-    fun hasPrefillRoom(now: Moment): Boolean = prefilling.any { it.hasPrefillRoom() && usable(it, now) }
+    fun hasPrefillRoom(now: Moment): Boolean = prefilling.any { it.hasPrefillRoom(now) && usable(it, now) }
 
     fun serversAre(servers: List<BackendServer>, now: Moment) {
         val names = servers.mapTo(HashSet()) { ServerId(it.name) }
@@ -44,7 +46,7 @@
         servers.forEach { server ->
             val id = ServerId(server.name)
             domains[id] = server.domain
-            engines.getOrPut(id) { EngineEstimate(server, settings, waits, now) }.server = server
+            engines.getOrPut(id) { EngineEstimate(server, settings, waits, ledger, now) }.server = server
         }
         if (domains.size > MAX_FORMER * (engines.size + 1)) domains.keys.retainAll(names)
         outliers.poolIs(names)
--- a/src/main/kotlin/org/persimmonrelay/routing/ExpectedTimeDispatcher.kt
+++ b/src/main/kotlin/org/persimmonrelay/routing/ExpectedTimeDispatcher.kt
@@ -31,7 +31,7 @@
     private val profile = settings.engine
     private val outliers = OutlierDetector(settings.outlier)
     private val waits = WaitModel()
-    private val pool = EnginePool(settings, outliers, waits)
+    private val pool = EnginePool(settings, outliers, waits, ledger)
     private val prefixes = PrefixDirectory()
     private val chooser = PlacementChooser(settings, pool, prefixes, random)
     private val queue = WaitingQueue(ledger)
@@ -75,7 +75,7 @@
     private fun arrived(event: DispatchEvent.Arrived, now: Moment): DispatchAction? {
         val request = event.request
         if (event.attempt > 0 || event.outputSoFar > 0) return arrivedAgain(event, now)
-        if (event.failedServer == null) demand.arrived(request)
+        if (event.failedServer == null) asked(request)
         val refusal = refusal(request, now)
         if (refusal != null) return DispatchAction.Refuse(request.id, refusal)
         val avoid = event.failedServer?.let(pool::domainOf)
@@ -83,6 +83,12 @@
         return null
     }
 
+    private fun asked(request: DispatchRequest) {
+        demand.arrived(request)
+        val expected = outputs.expected(request.workspace, request.maxOutputTokens)
+        ledger.asked(request.workspace, request.weight, profile.cost(request.promptTokens, expected))
+    }
+
     private fun arrivedAgain(event: DispatchEvent.Arrived, now: Moment): DispatchAction? {
         val request = event.request
         running.remove(request.id)?.let { release(it, now) }
@@ -172,7 +178,15 @@
         val seconds = (now - attempt.progressedAt).toDouble(DurationUnit.SECONDS)
         attempt.outputTokens = event.outputTokens
         attempt.progressedAt = now
-        if (attempt.prefilled) attempt.decode.stepped(tokens, seconds) else firstToken(attempt, event, seconds, now)
+        if (attempt.prefilled) {
+            attempt.decode.stepped(
+                tokens,
+                seconds,
+                now,
+            )
+        } else {
+            firstToken(attempt, event, seconds, now)
+        }
     }
 
     private fun firstToken(attempt: RunningAttempt, event: DispatchEvent.Progressed, seconds: Double, now: Moment) {
@@ -220,7 +234,7 @@
     }
 
     private fun peerConsumed(summary: ShareSummary, now: Moment) {
-        if (ledger.absorb(summary)) limits.absorb(summary, now)
+        if (ledger.absorb(summary, now)) limits.absorb(summary, now)
     }
 
     private fun expectedTokens(request: DispatchRequest): Long =
--- a/src/main/kotlin/org/persimmonrelay/routing/PlacementChooser.kt
+++ b/src/main/kotlin/org/persimmonrelay/routing/PlacementChooser.kt
@@ -54,7 +54,7 @@
     }
 
     private fun consider(engine: EngineEstimate, waiting: Waiting, now: Moment): Choice? {
-        if (!engine.hasPrefillRoom() || !pool.usable(engine, now)) return null
+        if (!engine.hasPrefillRoom(now) || !pool.usable(engine, now)) return null
         val decode = chooseDecode(engine, waiting, now) ?: return null
         val blocks = waiting.request.prefixBlocks
         val cached = minOf(prefixes.held(engine.id, blocks) * profile.blockTokens, waiting.promptTokens - 1)
@@ -71,10 +71,10 @@
         var best: EngineEstimate? = null
         var bestSeconds = Double.MAX_VALUE
         for (engine in pool.decoders(prefill.server.domain)) {
-            if (!engine.hasDecodeRoom(tokens) || !pool.usable(engine, now)) continue
+            if (!engine.hasDecodeRoom(tokens, now) || !pool.usable(engine, now)) continue
             val moved = if (engine === prefill) 0.0 else MOVE_PENALTY_SECONDS
             val mixed = if (prefill.role == EngineRole.PREFILL && engine.role == EngineRole.MIXED) moved else 0.0
-            val seconds = engine.stepSeconds() + moved + mixed
+            val seconds = engine.stepSeconds(now) + moved + mixed
             if (seconds < bestSeconds) {
                 best = engine
                 bestSeconds = seconds
