Collect engine loads by one node each and follow the host list

Cause: each node asked each engine for its load, which 370 nodes before 1,300 engines can't afford, and a backend server that the platform lists as leaving still got work.

--- a/src/main/kotlin/org/persimmonrelay/catalog/CatalogView.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/CatalogView.kt
@@ -16,6 +16,9 @@
 
     public fun deployment(name: String): Deployment?
 
+    /** All deployments, by name. */
+    public fun deployments(): List<Deployment>
+
     /** Deployments that [workspace] may use, by name. */
     public fun deploymentsFor(workspace: Workspace): List<Deployment>
 
--- a/src/main/kotlin/org/persimmonrelay/catalog/DefaultCatalogView.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/DefaultCatalogView.kt
@@ -24,6 +24,8 @@
     /** The key called [name], withdrawn or not. */
     public fun key(name: String): ApiKey? = indexes.keys[name]
 
+    override fun deployments(): List<Deployment> = indexes.deployments.sorted
+
     override fun deploymentsFor(workspace: Workspace): List<Deployment> =
         derived.deployments.admitting(workspace.labels)
 
--- a/src/main/kotlin/org/persimmonrelay/entry/EntryParts.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/EntryParts.kt
@@ -1,14 +1,17 @@
 package org.persimmonrelay.entry
 
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.emptyFlow
 import org.persimmonrelay.catalog.CatalogSource
 import org.persimmonrelay.catalog.Deployment
 import org.persimmonrelay.catalog.KeyVerifier
 import org.persimmonrelay.catalog.WithdrawalWatch
 import org.persimmonrelay.clock.Clock
 import org.persimmonrelay.engine.EngineClient
+import org.persimmonrelay.engine.LoadReport
 import org.persimmonrelay.identity.Incarnation
 import org.persimmonrelay.identity.ServerId
 import org.persimmonrelay.once.OnceManager
@@ -26,7 +29,8 @@
 /**
  * What the entry works with.
  *
- * [leaving] names backend servers that get no new work although the catalog still lists them.
+ * [loads] has the latest report of each engine, again whenever one changes. [leaving] names backend servers that
+ * get no new work although the catalog still lists them.
  */
 public class EntryParts(
     public val incarnation: Incarnation,
@@ -37,6 +41,7 @@
     public val usage: UsageMeter,
     public val events: EventSink,
     public val registry: PrometheusMeterRegistry,
+    public val loads: Flow<Map<ServerId, LoadReport>> = emptyFlow(),
     public val leaving: StateFlow<Set<ServerId>> = MutableStateFlow(emptySet()),
     public val dispatcherFactory: (Deployment) -> Dispatcher,
 )
--- a/src/main/kotlin/org/persimmonrelay/entry/EntryServer.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/EntryServer.kt
@@ -69,7 +69,7 @@
     public suspend fun start(): Int {
         scope.launch { running.run() }
         scope.launch { servers.changes.collect { gates.serversChanged() } }
-        scope.launch { LoadReportPoller(parts.engine, gates, settings.loadPoll).run() }
+        scope.launch { LoadFeed(parts.loads, gates).run() }
         server.startSuspend(wait = false)
         val port = server.engine.resolvedConnectors().first().port
         parts.events.record(EntryEvent.LISTENING, "host" with settings.host, "port" with port)
--- a/src/main/kotlin/org/persimmonrelay/entry/EntrySettings.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/EntrySettings.kt
@@ -24,7 +24,6 @@
     val writeTimeout: Duration = 30.seconds,
     val withdrawnFinish: Duration = 30.seconds,
     val keyCheck: Duration = 200.milliseconds,
-    val loadPoll: Duration = 200.milliseconds,
     val maxAttempts: Int = 4,
     val labelledWorkspaces: Int = 50,
 ) {
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/entry/LoadFeed.kt
@@ -0,0 +1,20 @@
+package org.persimmonrelay.entry
+
+import kotlinx.coroutines.flow.Flow
+import org.persimmonrelay.engine.LoadReport
+import org.persimmonrelay.identity.ServerId
+
+/** Passes each engine's load to the gates, once for each new report. */
+internal class LoadFeed(private val loads: Flow<Map<ServerId, LoadReport>>, private val gates: DispatchGates) {
+    private val passed = HashMap<ServerId, LoadReport>()
+
+    /** Passes reports on until cancelled. */
+    suspend fun run(): Unit = loads.collect { reports ->
+        passed.keys.retainAll(reports.keys)
+        reports.values.forEach(::passIfNew)
+    }
+
+    private fun passIfNew(report: LoadReport) {
+        if (passed.put(report.server, report) != report) gates.reported(report)
+    }
+}
--- a/src/main/kotlin/org/persimmonrelay/measure/BenchCatalog.kt
+++ b/src/main/kotlin/org/persimmonrelay/measure/BenchCatalog.kt
@@ -60,6 +60,8 @@
 
     override fun deployment(name: String): Deployment? = deployment.takeIf { it.name == name }
 
+    override fun deployments(): List<Deployment> = listOf(deployment)
+
     override fun deploymentsFor(workspace: Workspace): List<Deployment> = listOf(deployment)
 
     override fun serversOf(deployment: Deployment): List<BackendServer> = listOf(server)
--- a/src/main/kotlin/org/persimmonrelay/measure/CatalogMeasure.kt
+++ b/src/main/kotlin/org/persimmonrelay/measure/CatalogMeasure.kt
@@ -119,9 +119,9 @@
     }
 
     private fun bytesPer(make: () -> List<CatalogObject>): Double {
-        val before = HeapGauge.usedBytes()
+        val before = MemoryGauge.heapBytes()
         val view = DefaultCatalogView.of(1, make().map { StoredObject(1, it) })
-        val after = HeapGauge.usedBytes()
+        val after = MemoryGauge.heapBytes()
         return (after - before).toDouble() / view.stored().size
     }
 
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/node/EngineLoads.kt
@@ -0,0 +1,44 @@
+package org.persimmonrelay.node
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import org.persimmonrelay.catalog.BackendServer
+import org.persimmonrelay.catalog.CatalogSource
+import org.persimmonrelay.engine.EngineAddress
+import org.persimmonrelay.engine.EngineClient
+import org.persimmonrelay.engine.LoadReport
+import org.persimmonrelay.identity.Region
+import org.persimmonrelay.identity.ServerId
+import org.persimmonrelay.membership.EngineSummaries
+import kotlin.coroutines.coroutineContext
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Asks the engines that this node collects for their load, and spreads the answers. */
+internal class EngineLoads(
+    private val engines: EngineClient,
+    private val catalog: CatalogSource,
+    private val summaries: EngineSummaries,
+    private val period: Duration = 500.milliseconds,
+) {
+    /** Collects until cancelled. An engine that does not answer keeps no other waiting beyond its timeout. */
+    suspend fun run() {
+        while (coroutineContext.isActive) {
+            summaries.publish(collect())
+            delay(period)
+        }
+    }
+
+    private suspend fun collect(): List<LoadReport> = coroutineScope {
+        val mine = engineServers().filter { summaries.collects(ServerId(it.name), Region(it.region)) }
+        mine.map { async { engines.load(EngineAddress(it.address)).getOrNull() } }.awaitAll().filterNotNull()
+    }
+
+    private fun engineServers(): List<BackendServer> {
+        val view = catalog.view.value
+        return view.deployments().flatMap(view::serversOf).distinctBy { it.name }
+    }
+}
--- a/src/main/kotlin/org/persimmonrelay/node/Node.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/Node.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.launch
 import org.persimmonrelay.admin.AdminServer
 import org.persimmonrelay.admin.CatalogRoutes
 import org.persimmonrelay.admin.OperatorGate
@@ -22,6 +23,7 @@
 import org.persimmonrelay.identity.Incarnation
 import org.persimmonrelay.identity.NodeId
 import org.persimmonrelay.membership.MemberState
+import org.persimmonrelay.once.ClaimSweep
 import org.persimmonrelay.once.TableOnceManager
 import org.persimmonrelay.routing.Dispatcher
 import org.persimmonrelay.routing.ExpectedTimeDispatcher
@@ -29,6 +31,8 @@
 import org.persimmonrelay.settings.NodeSettings
 import org.persimmonrelay.timeline.with
 import org.persimmonrelay.usage.UsageRecorder
+import org.persimmonrelay.usage.UsageSettings
+import org.persimmonrelay.usage.WindowCloser
 import java.security.SecureRandom
 import kotlin.random.Random
 import kotlin.random.asKotlinRandom
@@ -60,6 +64,8 @@
             events = core.events,
         )
     private val usage = UsageRecorder(platform.reliableTable, clock, core.incarnation, core.events)
+    private val loads = EngineLoads(engines, core.catalog.state, core.summaries)
+    private val upkeep = UpkeepDuties(core.leases, windowClosers(), claimSweep())
     private val entry = EntryServer(entrySettings(), entryParts())
     private val admin =
         AdminServer(
@@ -84,6 +90,8 @@
         core.join()
         once.start()
         usage.start(control.scope)
+        control.scope.launch { loads.run() }
+        upkeep.start(control.scope)
         val adminPort = admin.start()
         core.catalog.follower.ready.first { it }
         val entryPort = entry.start()
@@ -112,6 +120,24 @@
         it.address.node == node && it.address.incarnation == incarnation && it.state == MemberState.ALIVE
     }
 
+    private fun windowClosers(): List<WindowCloser> {
+        val settings = UsageSettings()
+        return (0 until settings.shards).map { shard ->
+            WindowCloser(
+                table = platform.reliableTable,
+                reports = platform.usage,
+                leases = core.leases,
+                clock = clock,
+                shard = shard,
+                newOperation = core.operations::next,
+                events = core.events,
+                settings = settings,
+            )
+        }
+    }
+
+    private fun claimSweep() = ClaimSweep(platform.reliableTable, clock, core.operations::next, core.events)
+
     private fun entrySettings() = EntrySettings(
         host = settings.entry.host,
         port = settings.entry.port,
@@ -129,6 +155,8 @@
         usage = usage,
         events = core.events,
         registry = core.registry,
+        loads = core.summaries.reports,
+        leaving = core.hostWatch.leaving,
         dispatcherFactory = ::dispatcherFor,
     )
 
--- a/src/main/kotlin/org/persimmonrelay/node/NodeCore.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/NodeCore.kt
@@ -2,6 +2,7 @@
 
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import kotlinx.coroutines.launch
 import org.persimmonrelay.catalog.CatalogBounds
 import org.persimmonrelay.catalog.CatalogDependencies
 import org.persimmonrelay.catalog.CatalogService
@@ -16,8 +17,12 @@
 import org.persimmonrelay.lease.LeaseTerms
 import org.persimmonrelay.lease.MemberEvidence
 import org.persimmonrelay.lease.STEP_DOWN
+import org.persimmonrelay.membership.EngineSummaries
+import org.persimmonrelay.membership.HostWatch
+import org.persimmonrelay.membership.LeavingServers
 import org.persimmonrelay.membership.NodePlace
 import org.persimmonrelay.membership.SeedRepository
+import org.persimmonrelay.membership.SwimGossip
 import org.persimmonrelay.membership.SwimMembership
 import org.persimmonrelay.membership.TimelineCollector
 import org.persimmonrelay.peer.GrpcPeerNetwork
@@ -56,6 +61,9 @@
             events = events,
             control = control.dispatcher,
         )
+    val gossip = SwimGossip(membership, network, random, events, control.dispatcher)
+    val summaries = EngineSummaries(membership, gossip)
+    val hostWatch = HostWatch(platform.hosts, membership, LeavingServers(node, gossip, events), gossip, clock)
     val timeline = TimelineCollector(events, membership, network)
     val catalog =
         CatalogService(
@@ -83,6 +91,8 @@
         timeline.serve()
         network.serve(STEP_DOWN) { leases.stepDown(it) }
         membership.join(control.scope)
+        gossip.start(control.scope, membership.generation)
+        control.scope.launch { hostWatch.run() }
         catalog.start()
     }
 
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/node/UpkeepDuties.kt
@@ -0,0 +1,35 @@
+package org.persimmonrelay.node
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.persimmonrelay.lease.Duty
+import org.persimmonrelay.lease.LeaseManager
+import org.persimmonrelay.once.ClaimSweep
+import org.persimmonrelay.usage.WindowCloser
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+
+/** Duties that one node does for all: closing usage windows and removing expired claims. */
+internal class UpkeepDuties(
+    private val leases: LeaseManager,
+    private val closers: List<WindowCloser>,
+    private val sweep: ClaimSweep,
+    private val sweepEvery: Duration = 1.hours,
+) {
+    /** Competes for the duties until [scope] ends. */
+    fun start(scope: CoroutineScope) {
+        closers.forEach { it.start(scope) }
+        leases.compete(scope, Duty.SWEEP)
+        scope.launch { sweepForever() }
+    }
+
+    private suspend fun sweepForever() {
+        while (true) {
+            delay(sweepEvery)
+            if (holdsSweep()) sweep.pass(::holdsSweep)
+        }
+    }
+
+    private fun holdsSweep() = leases.tenure(Duty.SWEEP) != null
+}
--- a/src/test/kotlin/org/persimmonrelay/entry/FakeCatalog.kt
+++ b/src/test/kotlin/org/persimmonrelay/entry/FakeCatalog.kt
@@ -71,6 +71,8 @@
 
     override fun deployment(name: String): Deployment? = deployments.find { it.name == name }
 
+    override fun deployments(): List<Deployment> = deployments
+
     override fun deploymentsFor(workspace: Workspace): List<Deployment> =
         deployments.filter { workspace.name !in closedTo }
 
