--- a/src/main/kotlin/org/persimmonrelay/experiment/ScenarioExperiment.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/ScenarioExperiment.kt
@@ -17,7 +17,9 @@
             Scenario.DOMAIN_LOSS -> serving.domainLoss()
             Scenario.STALE -> serving.stale()
             Scenario.REGION_CUT -> serving.regionCut()
-            Scenario.NO_CHEAP, Scenario.DRIFT, Scenario.SCALE -> error("not here")
+            Scenario.NO_CHEAP -> FleetScenarios(seed).noCheap()
+            Scenario.DRIFT -> FleetScenarios(seed).drift()
+            Scenario.SCALE -> ScaleScenario(seed).run()
         }
     }
 }
--- a/src/main/kotlin/org/persimmonrelay/fairness/FairShareLedger.kt
+++ b/src/main/kotlin/org/persimmonrelay/fairness/FairShareLedger.kt
@@ -10,6 +10,7 @@
 import org.persimmonrelay.identity.Incarnation
 import org.persimmonrelay.identity.NodeId
 import org.persimmonrelay.identity.WorkspaceId
+import java.util.PriorityQueue
 import java.util.TreeSet
 import kotlin.math.exp
 import kotlin.time.DurationUnit
@@ -89,9 +90,8 @@
     /** What to tell the peers now; to be called about once a second, also when there are no peers. */
     public fun summary(node: NodeId, incarnation: Incarnation, deployment: DeploymentId, now: Moment): ShareSummary {
         measure(now)
-        val due = accounts.values.filter { it.untoldCost != 0.0 || it.demand > 0 }
-        val top = due.sortedByDescending { it.untoldCost + it.demand }.take(settings.summaryEntries)
-        val restDemand = due.sumOf { it.demand } - top.sumOf { it.demand }
+        val top = mostToTell()
+        val restDemand = accounts.values.sumOf { it.demand } - top.sumOf { it.demand }
         val entries = top.map { it.tell() }
         val summary = ShareSummary(node, incarnation, ++sequence, deployment, entries, maxOf(0.0, restDemand), served)
         parts.update(summary, now)
@@ -109,6 +109,20 @@
         return true
     }
 
+    private fun mostToTell(): List<ShareAccount> {
+        val top = PriorityQueue<ShareAccount>(compareBy { it.toTell })
+        for (account in accounts.values) {
+            if (account.toTell == 0.0) continue
+            if (top.size < settings.summaryEntries) {
+                top += account
+            } else if (account.toTell > top.element().toTell) {
+                top.remove()
+                top += account
+            }
+        }
+        return top.toList()
+    }
+
     private fun measure(now: Moment) {
         val before = measuredAt
         measuredAt = now
--- a/src/main/kotlin/org/persimmonrelay/fairness/FairShareSettings.kt
+++ b/src/main/kotlin/org/persimmonrelay/fairness/FairShareSettings.kt
@@ -7,7 +7,8 @@
  *
  * [summaryEntries] bounds the size of a message between nodes. [maxLeadSeconds] bounds, in engine seconds per
  * unit of weight, how long past consumption is held against a workspace; [idleCreditSeconds] is what a workspace
- * that was idle may have in hand. The credit covers what other nodes tell late. Demand is averaged over [demandSeconds].
+ * that was idle may have in hand. The credit covers what other nodes tell late. Demand is averaged over
+ * [demandSeconds].
  */
 @Serializable
 public data class FairShareSettings(
--- a/src/main/kotlin/org/persimmonrelay/fairness/ShareAccount.kt
+++ b/src/main/kotlin/org/persimmonrelay/fairness/ShareAccount.kt
@@ -1,6 +1,7 @@
 package org.persimmonrelay.fairness
 
 import org.persimmonrelay.identity.WorkspaceId
+import kotlin.math.abs
 
 /** One workspace in the ledger. [virtualTime] is in engine seconds per unit of weight. */
 internal class ShareAccount(val workspace: WorkspaceId, var weight: Int, var virtualTime: Double) {
@@ -11,6 +12,10 @@
     var asked = 0.0
     var demand = 0.0
 
+    /** How much the peers miss by not hearing of this workspace now. */
+    val toTell: Double
+        get() = abs(untoldCost) + demand
+
     /** True when nothing runs, waits or is still to be told. */
     fun settled(): Boolean = !waiting && running == 0 && untoldCost == 0.0 && untoldTokens == 0L && demand == 0.0
 
--- a/src/main/kotlin/org/persimmonrelay/routing/EngineEstimate.kt
+++ b/src/main/kotlin/org/persimmonrelay/routing/EngineEstimate.kt
@@ -176,7 +176,7 @@
 
     private companion object {
         const val HISTORY_SECONDS = 10.0
-        const val MAX_HISTORY = 4_096
+        const val MAX_HISTORY = 512
         const val MILLIS = 1_000.0
         const val STEP_GAIN = 0.2
         const val STEP_VALID_SECONDS = 1.5
--- a/src/main/kotlin/org/persimmonrelay/routing/EnginePool.kt
+++ b/src/main/kotlin/org/persimmonrelay/routing/EnginePool.kt
@@ -24,6 +24,10 @@
     val prefillers: List<EngineEstimate>
         get() = prefilling
 
+    /** [prefillers] by failure domain. */
+    var groups: List<EngineGroup> = emptyList()
+        private set
+
     val isEmpty: Boolean
         get() = prefilling.isEmpty()
 
@@ -66,6 +70,7 @@
         val open = engines.values.filterNot { it.draining }.sortedBy { it.server.name }
         decodingByDomain = open.filter { it.canDecode() }.groupBy { it.server.domain }
         prefilling = open.filter { it.canPrefill() && it.server.domain in decodingByDomain }
+        groups = prefilling.groupBy { it.server.domain }.map { (domain, engines) -> EngineGroup(domain, engines) }
     }
 
     private companion object {
--- a/src/main/kotlin/org/persimmonrelay/routing/PlacementChooser.kt
+++ b/src/main/kotlin/org/persimmonrelay/routing/PlacementChooser.kt
@@ -24,17 +24,22 @@
 ) {
     private val profile = settings.engine
 
-    /** The best placement with room now, or null. Engines of [avoidDomain] are taken only if no other stands. */
+    /** The best placement with room now, or null. Engines of the domain to avoid are taken only if no other stands. */
     fun choose(waiting: Waiting, now: Moment): Choice? {
-        val all = pool.prefillers
-        if (all.isEmpty()) return null
-        val avoid = waiting.avoidDomain
-        if (avoid == null || all.none { it.server.domain != avoid }) return chooseAmong(all, waiting, now)
-        return chooseAmong(all.filter { it.server.domain != avoid }, waiting, now)
+        val avoid = waiting.avoidDomain ?: return chooseAmong(pool.prefillers, pool.groups, waiting, now)
+        val others = pool.groups.filter { it.domain != avoid }
+        if (others.isEmpty()) return chooseAmong(pool.prefillers, pool.groups, waiting, now)
+        return chooseAmong(others.flatMap { it.engines }, others, waiting, now)
     }
 
-    private fun chooseAmong(engines: List<EngineEstimate>, waiting: Waiting, now: Moment): Choice? {
-        var best = prefixes.affinity(engines, waiting.request.prefixBlocks)?.let { consider(it, waiting, now) }
+    private fun chooseAmong(
+        engines: List<EngineEstimate>,
+        groups: List<EngineGroup>,
+        waiting: Waiting,
+        now: Moment,
+    ): Choice? {
+        if (engines.isEmpty()) return null
+        var best = prefixes.affinity(groups, waiting.request.prefixBlocks)?.let { consider(it, waiting, now) }
         repeat(settings.samples) {
             best = better(best, consider(engines[random.nextInt(engines.size)], waiting, now))
         }
@@ -65,26 +70,37 @@
         return Choice(engine, decode, cached, expected)
     }
 
-    /** Where to decode within the failure domain: the engine with the shortest step that has room. */
+    /** Where to decode within the failure domain: a few engines are compared, all if none of them has room. */
     private fun chooseDecode(prefill: EngineEstimate, waiting: Waiting, now: Moment): EngineEstimate? {
-        val tokens = waiting.kvTokens
-        var best: EngineEstimate? = null
-        var bestSeconds = Double.MAX_VALUE
-        for (engine in pool.decoders(prefill.server.domain)) {
-            if (!engine.hasDecodeRoom(tokens, now) || !pool.usable(engine, now)) continue
-            val moved = if (engine === prefill) 0.0 else MOVE_PENALTY_SECONDS
-            val mixed = if (prefill.role == EngineRole.PREFILL && engine.role == EngineRole.MIXED) moved else 0.0
-            val seconds = engine.stepSeconds(now) + moved + mixed
-            if (seconds < bestSeconds) {
-                best = engine
-                bestSeconds = seconds
-            }
-        }
-        return best
+        val engines = pool.decoders(prefill.server.domain)
+        if (engines.size <= FEW_ENGINES) return bestDecode(engines, prefill, waiting, now)
+        val few = List(settings.samples) { engines[random.nextInt(engines.size)] }
+        val own = if (prefill.canDecode()) few + prefill else few
+        return bestDecode(own, prefill, waiting, now) ?: bestDecode(engines, prefill, waiting, now)
+    }
+
+    private fun bestDecode(
+        engines: List<EngineEstimate>,
+        prefill: EngineEstimate,
+        waiting: Waiting,
+        now: Moment,
+    ): EngineEstimate? {
+        val open = engines.filter { it.hasDecodeRoom(waiting.kvTokens, now) && pool.usable(it, now) }
+        return open.minByOrNull { it.stepSeconds(now) + movePenalty(prefill, it) }
+    }
+
+    /** What it costs to decode elsewhere, as seconds between tokens; twice that if it disturbs a mixed engine. */
+    private fun movePenalty(prefill: EngineEstimate, decode: EngineEstimate): Double = when {
+        decode === prefill -> 0.0
+        prefill.role == EngineRole.PREFILL && decode.role == EngineRole.MIXED -> 2 * MOVE_PENALTY_SECONDS
+        else -> MOVE_PENALTY_SECONDS
     }
 
     private companion object {
         /** A move of the KV cache has to shorten each step by this much to be worth it. */
         const val MOVE_PENALTY_SECONDS = 0.004
+
+        /** Up to this many engines are all compared. */
+        const val FEW_ENGINES = 8
     }
 }
--- a/src/main/kotlin/org/persimmonrelay/routing/PrefixDirectory.kt
+++ b/src/main/kotlin/org/persimmonrelay/routing/PrefixDirectory.kt
@@ -10,8 +10,8 @@
 /** Prefix blocks by engine, bounded in size. Not thread-safe. */
 internal class PrefixDirectory(private val maxBlocks: Int = DEFAULT_MAX_BLOCKS) {
     private val holders =
-        object : LinkedHashMap<Long, MutableSet<ServerId>>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
-            override fun removeEldestEntry(eldest: MutableMap.MutableEntry<Long, MutableSet<ServerId>>): Boolean =
+        object : LinkedHashMap<Long, ArrayList<String>>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
+            override fun removeEldestEntry(eldest: MutableMap.MutableEntry<Long, ArrayList<String>>): Boolean =
                 size > maxBlocks
         }
 
@@ -19,45 +19,43 @@
     fun held(server: ServerId, blocks: LongArray): Int {
         for (index in blocks.indices) {
             val known = holders[blocks[index]] ?: return index
-            if (server !in known) return index
+            if (server.value !in known) return index
         }
         return blocks.size
     }
 
     fun sent(server: ServerId, blocks: LongArray) {
-        for (block in blocks) holders.getOrPut(block) { LinkedHashSet(2) } += server
+        for (block in blocks) {
+            val known = holders.getOrPut(block) { ArrayList(1) }
+            if (server.value !in known) known += server.value
+        }
     }
 
     /** [server] found only the first [found] of [blocks] and holds them all now. Claims on it were too high. */
     fun corrected(server: ServerId, blocks: LongArray, found: Int) {
-        for (index in found until blocks.size) holders[blocks[index]]?.remove(server)
+        for (index in found until blocks.size) holders[blocks[index]]?.remove(server.value)
         sent(server, blocks)
     }
 
     fun forget(server: ServerId) {
-        holders.values.forEach { it.remove(server) }
+        holders.values.forEach { it.remove(server.value) }
     }
 
-    /** The engine of [candidates] on which all nodes gather requests that share the first blocks. */
-    fun affinity(candidates: List<EngineEstimate>, blocks: LongArray): EngineEstimate? {
-        if (blocks.isEmpty() || candidates.isEmpty()) return null
+    /**
+     * The engine on which all nodes gather requests that share the first blocks: the failure domain is picked
+     * first, then an engine in it, so that few engines have to be looked at.
+     */
+    fun affinity(groups: List<EngineGroup>, blocks: LongArray): EngineEstimate? {
+        if (blocks.isEmpty() || groups.isEmpty()) return null
         val key = blocks[minOf(blocks.size, AFFINITY_BLOCKS) - 1]
-        var best = candidates[0]
-        var bestScore = mix(key xor best.seed)
-        for (index in 1 until candidates.size) {
-            val score = mix(key xor candidates[index].seed)
-            if (score > bestScore) {
-                best = candidates[index]
-                bestScore = score
-            }
-        }
-        return best
+        val group = groups.maxBy { mix(key xor it.seed) }
+        return group.engines.maxBy { mix(key xor it.seed) }
     }
 
     internal companion object {
         /** Leading blocks that decide the affinity; deeper ones differ between requests that share a document. */
         const val AFFINITY_BLOCKS = 4
-        const val DEFAULT_MAX_BLOCKS = 200_000
+        const val DEFAULT_MAX_BLOCKS = 20_000
         private const val INITIAL_CAPACITY = 1024
         private const val LOAD_FACTOR = 0.75f
         private const val MIX_1 = -0x61c8864680b583ebL
