--- a/src/main/kotlin/org/persimmonrelay/experiment/laws/LawExperiment.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/laws/LawExperiment.kt
@@ -11,6 +11,8 @@
         UsageLaw.LAW,
         OnceLaw.LAW,
         NotRunLaw.LAW,
+        ConfigLaw,
+        KeyFreshnessLaw,
     )
 
     /** Runs [schedules] schedules in all, shared evenly between the laws, from [seed]. */
