--- a/src/main/kotlin/org/persimmonrelay/catalog/CatalogFollower.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/CatalogFollower.kt
@@ -97,7 +97,7 @@
     }
 
     private companion object {
-        const val SHORTEST_JITTER = 0.8
+        const val SHORTEST_JITTER = 0.9
         const val LONGEST_JITTER = 1.1
         const val CONFIRMED_POLLS = 1.5
         val ASK_EVERY = 500.milliseconds
--- a/src/main/kotlin/org/persimmonrelay/catalog/CatalogService.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/CatalogService.kt
@@ -1,18 +1,23 @@
 package org.persimmonrelay.catalog
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
 import org.persimmonrelay.clock.Clock
 import org.persimmonrelay.membership.Membership
 import org.persimmonrelay.peer.PeerNetwork
 import org.persimmonrelay.platform.ObjectStore
 import org.persimmonrelay.platform.ReliableTable
 import org.persimmonrelay.timeline.EventSink
+import kotlin.coroutines.CoroutineContext
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** What the configuration of one node needs from the rest. [random] must differ from node to node. */
+/**
+ * What the configuration of one node needs from the rest. [random] must differ from node to node; [background] runs
+ * the encoding of snapshots.
+ */
 public data class CatalogDependencies(
     val table: ReliableTable,
     val objects: ObjectStore,
@@ -21,6 +26,7 @@
     val clock: Clock,
     val random: Random,
     val events: EventSink,
+    val background: CoroutineContext = Dispatchers.Default,
 )
 
 /** Periods and bounds of the configuration. */
@@ -68,6 +74,7 @@
         operations = operations,
         events = events,
         every = bounds.snapshotEvery,
+        background = dependencies.background,
     )
     private val repository = CatalogRepository(dependencies.table, state, snapshots, operations, events)
     private val peers =
--- a/src/main/kotlin/org/persimmonrelay/catalog/KeyFreshness.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/KeyFreshness.kt
@@ -46,10 +46,9 @@
      */
     public fun onReport(report: FreshnessReport, version: Long, sent: Moment): KeyFreshness {
         if (!report.started || report.version > version) return this
-        val direct = heard + (report.from to latest(heard[report.from], sent))
-        val all = report.heard.entries.fold(direct) { known, (node, age) ->
-            known + (node to latest(known[node], sent - age))
-        }
+        val all = HashMap(heard)
+        all[report.from] = latest(heard[report.from], sent)
+        report.heard.forEach { (node, age) -> all[node] = latest(all[node], sent - age) }
         return copy(storeConfirmed = latest(storeConfirmed, report.storeAge?.let { sent - it }), heard = all)
     }
 
--- a/src/main/kotlin/org/persimmonrelay/catalog/SnapshotRepository.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/SnapshotRepository.kt
@@ -12,10 +12,13 @@
 import org.persimmonrelay.timeline.EventSink
 import org.persimmonrelay.timeline.with
 import java.io.IOException
+import kotlin.coroutines.CoroutineContext
+import kotlin.coroutines.EmptyCoroutineContext
 
 /**
  * Snapshots of the configuration in the object store, named by version, so that two nodes that write the same one
- * write the same bytes' meaning. Change rows are removed only when they are well behind the oldest snapshot kept.
+ * write the same bytes' meaning. Change rows are removed only when they are behind the oldest snapshot kept.
+ * Encoding takes long at full size and runs in [background].
  */
 public class SnapshotRepository(
     private val objects: ObjectStore,
@@ -24,6 +27,7 @@
     private val operations: OperationIds,
     private val events: EventSink,
     private val every: Long = DEFAULT_EVERY,
+    private val background: CoroutineContext = EmptyCoroutineContext,
 ) {
     private var newestKnown = 0L
 
--- a/src/main/kotlin/org/persimmonrelay/experiment/laws/VersionedConfigNode.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/laws/VersionedConfigNode.kt
@@ -20,6 +20,7 @@
 import org.persimmonrelay.platform.ReliableTable
 import org.persimmonrelay.platform.TableService
 import org.persimmonrelay.timeline.EventSink
+import kotlin.coroutines.EmptyCoroutineContext
 import kotlin.random.Random
 
 /** What a modelled node gets from its world. */
@@ -48,6 +49,7 @@
             clock = parts.process.clock,
             random = parts.random,
             events = EventSink.NONE,
+            background = EmptyCoroutineContext,
         ),
         scope = parts.process.scope,
         keySecret = SECRET,
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/measure/CatalogChangeTimes.kt
@@ -0,0 +1,99 @@
+package org.persimmonrelay.measure
+
+import kotlinx.coroutines.runBlocking
+import org.persimmonrelay.catalog.ApiKey
+import org.persimmonrelay.catalog.BackendServer
+import org.persimmonrelay.catalog.CatalogObject
+import org.persimmonrelay.catalog.CatalogRepository
+import org.persimmonrelay.catalog.CatalogState
+import org.persimmonrelay.catalog.Change
+import org.persimmonrelay.catalog.ChangeRequest
+import org.persimmonrelay.catalog.DefaultCatalogView
+import org.persimmonrelay.catalog.Deployment
+import org.persimmonrelay.catalog.ObjectKind
+import org.persimmonrelay.catalog.ObjectRef
+import org.persimmonrelay.catalog.OperationIds
+import org.persimmonrelay.catalog.SnapshotRepository
+import org.persimmonrelay.clock.Clock
+import org.persimmonrelay.platform.ReliableTable
+import org.persimmonrelay.platform.TableClientSettings
+import org.persimmonrelay.standin.StandInObjectStore
+import org.persimmonrelay.standin.StandInTable
+import org.persimmonrelay.timeline.EventSink
+import kotlin.random.Random
+
+/** Median times of single changes and look-ups, in microseconds. */
+internal class CatalogChangeTimes(
+    private val sizes: CatalogSizes,
+    private val stopwatch: Stopwatch,
+    private val clock: Clock,
+    private val seed: Long,
+) {
+    /** A key is withdrawn; then traffic asks the new view. */
+    fun ofKey(view: DefaultCatalogView): Double = ofChange(view, ::withdrawnKey)
+
+    /** A backend server is drained or taken back. */
+    fun ofServer(view: DefaultCatalogView): Double = ofChange(view) { now, round ->
+        val server = now.named(ObjectKind.SERVER, "server-$round") as BackendServer
+        server.copy(drain = !server.drain)
+    }
+
+    /** A deployment's limit changes. */
+    fun ofDeployment(view: DefaultCatalogView): Double = ofChange(view) { now, round ->
+        (now.named(ObjectKind.DEPLOYMENT, "model-0") as Deployment).copy(maxOutputTokens = round + 1)
+    }
+
+    /** An operator's change: validated, encoded, committed to the table and adopted. */
+    fun ofApply(view: DefaultCatalogView): Double {
+        val table = ReliableTable(StandInTable(), clock, Random(seed), UNLIMITED)
+        val state = CatalogState(EventSink.NONE)
+        val operations = OperationIds(Random(seed))
+        val snapshots = SnapshotRepository(StandInObjectStore(), table, state, operations, EventSink.NONE)
+        val repository = CatalogRepository(table, state, snapshots, operations, EventSink.NONE)
+        view.objects.chunked(OBJECTS_PER_CHANGE).forEach { chunk -> repository.applyAll(chunk) }
+        check(state.current.objects.size == view.objects.size) { "Some changes were not accepted." }
+        var round = 0
+        return stopwatch.medianMicros(ROUNDS) { repository.applyAll(listOf(withdrawnKey(state.current, round++))) }
+    }
+
+    /** The digest of a presented key, and the look-up. */
+    fun ofVerification(view: DefaultCatalogView): Double {
+        val presented = sizes.presented(1)
+        return stopwatch.medianMicros(ROUNDS) {
+            repeat(VERIFICATIONS) { checkNotNull(view.keyByDigest(sizes.digester.digest(presented))) }
+        } / VERIFICATIONS
+    }
+
+    private fun ofChange(start: DefaultCatalogView, change: (DefaultCatalogView, Int) -> CatalogObject): Double {
+        var view = start
+        askAll(view)
+        var round = 0
+        return stopwatch.medianMicros(ROUNDS) {
+            view = view.with(listOf(Change.Put(change(view, round++))))
+            askAll(view)
+        }
+    }
+
+    private fun askAll(view: DefaultCatalogView) {
+        val workspace = checkNotNull(view.workspace("workspace-0")) { "The configuration has no workspace." }
+        view.deploymentsFor(workspace).forEach { view.serversOf(it) }
+        view.limitsFor(workspace)
+    }
+
+    private fun CatalogRepository.applyAll(objects: List<CatalogObject>) = runBlocking {
+        apply(ChangeRequest.of(*objects.map(Change::Put).toTypedArray()))
+    }
+
+    private fun withdrawnKey(view: DefaultCatalogView, round: Int): CatalogObject =
+        (view.named(ObjectKind.KEY, "key-$round") as ApiKey).copy(withdrawn = true)
+
+    private fun DefaultCatalogView.named(kind: ObjectKind, name: String): CatalogObject =
+        checkNotNull(find(ObjectRef(kind, name))) { "The configuration has no $name." }
+
+    private companion object {
+        val UNLIMITED = TableClientSettings(readsPerSecond = 1e9, writesPerSecond = 1e9)
+        const val ROUNDS = 200
+        const val VERIFICATIONS = 100
+        const val OBJECTS_PER_CHANGE = 500
+    }
+}
--- a/src/main/kotlin/org/persimmonrelay/measure/CatalogSizes.kt
+++ b/src/main/kotlin/org/persimmonrelay/measure/CatalogSizes.kt
@@ -3,15 +3,20 @@
 import org.persimmonrelay.catalog.ApiKey
 import org.persimmonrelay.catalog.BackendServer
 import org.persimmonrelay.catalog.CatalogObject
+import org.persimmonrelay.catalog.DefaultCatalogView
 import org.persimmonrelay.catalog.Deployment
 import org.persimmonrelay.catalog.KeyDigester
 import org.persimmonrelay.catalog.Limit
+import org.persimmonrelay.catalog.ObjectKind
 import org.persimmonrelay.catalog.Pool
 import org.persimmonrelay.catalog.StoredObject
 import org.persimmonrelay.catalog.Workspace
 
 /** Makes configurations of a given size, shaped like that of the users' letter. */
-internal class CatalogSizes(private val digester: KeyDigester) {
+internal class CatalogSizes {
+    /** Digests of the keys. */
+    val digester = KeyDigester(ByteArray(SECRET_BYTES) { it.toByte() })
+
     /** A share of the objects that [scale] stands for: 1.0 is 18,000 workspaces, 40,000 keys and 1,300 servers. */
     fun objects(scale: Double): List<StoredObject> {
         val workspaces = workspaces((WORKSPACES * scale).toInt())
@@ -50,9 +55,12 @@
     private fun region(number: Int) = "region-${number % REGIONS}"
 
     companion object {
+        fun workspacesIn(view: DefaultCatalogView): Int = view.count(ObjectKind.WORKSPACE)
+
         const val WORKSPACES = 18_000
         const val KEYS = 40_000
         const val SERVERS = 1_300
+        private const val SECRET_BYTES = 32
         private const val MODELS = 39
         private const val DOMAINS = 20
         private const val REGIONS = 8
--- /dev/null
+++ b/src/test/kotlin/org/persimmonrelay/catalog/DefaultKeyVerifierTest.kt
@@ -0,0 +1,73 @@
+package org.persimmonrelay.catalog
+
+import org.persimmonrelay.clock.Moment
+import org.persimmonrelay.outcome.NotRunReason
+import org.persimmonrelay.timeline.EventSink
+import java.security.SecureRandom
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNotEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+class DefaultKeyVerifierTest {
+    private val digester = KeyDigester(ByteArray(32) { 3 })
+    private val factory = KeyFactory(SecureRandom(), digester)
+    private val issued = factory.issue("k", "w")
+    private val state = CatalogState(EventSink.NONE)
+    private val guard = FreshnessGuard(LoneMembership("n1", "n2", "n3"), 8.seconds)
+    private val verifier = DefaultKeyVerifier(state, digester, guard)
+    private val watch = DefaultWithdrawalWatch(state)
+
+    init {
+        state.adopt(Snapshot(1, listOf(StoredObject(1, Workspace("w")), StoredObject(1, issued.key))))
+        guard.onHeadRead(Moment.ZERO, Moment.ZERO)
+    }
+
+    @Test
+    fun `a key is found with its workspace, and another is not`() {
+        val other = factory.issue("other", "w").secret
+
+        assertEquals("w", verifier.verify(issued.secret, Moment.ZERO).getOrNull()?.workspace?.name)
+        assertEquals(NotRunReason.INVALID_KEY, refusal(other))
+        assertEquals(NotRunReason.INVALID_KEY, refusal("pr_short"))
+    }
+
+    @Test
+    fun `a withdrawn key is refused, and its running requests see it`() {
+        change(issued.key.copy(withdrawn = true))
+        val withdrawn = watch.stateOf("k")
+        change(issued.key.copy(withdrawn = true, cutRunning = true))
+
+        assertEquals(NotRunReason.INVALID_KEY, refusal(issued.secret))
+        assertEquals(listOf(KeyState.WITHDRAWN, KeyState.CUT), listOf(withdrawn, watch.stateOf("k")))
+        assertEquals(KeyState.WITHDRAWN, watch.stateOf("deleted"))
+    }
+
+    @Test
+    fun `on an isolated node every key is refused as unknown, but a withdrawn one stays withdrawn`() {
+        val late = Moment.ZERO + 9.seconds
+
+        assertEquals(NotRunReason.KEY_STATE_UNKNOWN, refusal(issued.secret, late))
+        change(issued.key.copy(withdrawn = true))
+        assertEquals(NotRunReason.INVALID_KEY, refusal(issued.secret, late))
+    }
+
+    @Test
+    fun `keys are well formed, differ, and are not kept`() {
+        val secrets = List(100) { factory.issue("k$it", null) }
+
+        assertEquals(100, secrets.map { it.secret }.toSet().size)
+        assertTrue(secrets.all { KeyFactory.isWellFormed(it.secret) })
+        assertFalse(secrets.any { it.secret.drop(3) in it.key.toString() })
+        assertNotEquals(KeyDigester(ByteArray(32) { 4 }).digest("x"), digester.digest("x"))
+    }
+
+    private fun refusal(presented: String, now: Moment = Moment.ZERO): NotRunReason? =
+        verifier.verify(presented, now).leftOrNull()?.reason
+
+    private fun change(key: ApiKey) =
+        state.adopt(listOf(Delta(state.current.version + 1, OperationIds(Random(1)).next(), listOf(Change.Put(key)))))
+}
