--- a/src/main/kotlin/org/persimmonrelay/cli/ExperimentCommand.kt
+++ b/src/main/kotlin/org/persimmonrelay/cli/ExperimentCommand.kt
@@ -41,7 +41,7 @@
 
     private fun scenario(known: Scenario, out: PrintStream): Int {
         val report = ScenarioExperiment().run(known, seed)
-        ScenarioPlot.draw(report)?.let { plot?.writeText(it) }
+        ScenarioPlot().draw(report)?.let { plot?.writeText(it) }
         if (json) {
             out.println(JsonLines.pretty.encodeToString(ScenarioReport.serializer(), report))
         } else {
--- a/src/main/kotlin/org/persimmonrelay/measure/DutyMeasure.kt
+++ b/src/main/kotlin/org/persimmonrelay/measure/DutyMeasure.kt
@@ -29,12 +29,6 @@
         )
     }
 
-    private fun <T> slope(
-        name: String,
-        what: String,
-        per: String,
-        costs: List<T>,
-        x: (T) -> Int,
-        y: (T) -> Double,
-    ) = Slope.fit(name, what, per, costs.map { MeasurePoint(x(it).toDouble(), y(it)) })
+    private fun <T> slope(name: String, what: String, per: String, costs: List<T>, x: (T) -> Int, y: (T) -> Double) =
+        Slope.fit(name, what, per, costs.map { MeasurePoint(x(it).toDouble(), y(it)) })
 }
