--- a/src/main/kotlin/org/persimmonrelay/catalog/KeyVerifier.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/KeyVerifier.kt
@@ -4,10 +4,11 @@
 import org.persimmonrelay.clock.Moment
 import org.persimmonrelay.outcome.Refusal
 
-/** A key that was accepted, with its workspace; an operator's key has none. */
+/** A key that was found valid, and its workspace; operators' keys have none. */
 public data class VerifiedKey(val key: ApiKey, val workspace: Workspace?)
 
-/** Decides whether a presented key may be used now. Thread-safe and without waiting. */
+/** Decides whether a request may run under the key that came with it. Called for every request. */
 public interface KeyVerifier {
+    /** The key behind [presented], or why the request is not run. */
     public fun verify(presented: String, now: Moment): Either<Refusal.NotRun, VerifiedKey>
 }
--- a/src/main/kotlin/org/persimmonrelay/catalog/WithdrawalWatch.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/WithdrawalWatch.kt
@@ -1,9 +1,19 @@
 package org.persimmonrelay.catalog
 
-/** Whether requests under a key may go on: [WITHDRAWN] lets running ones finish, [CUT] ends them at once. */
-public enum class KeyState { VALID, WITHDRAWN, CUT }
+/** What has become of a key since a request was let in with it. */
+public enum class KeyState {
+    /** New and queued requests may run. */
+    VALID,
 
-/** Tells the state of a key to requests that wait or run. Thread-safe and without waiting. */
+    /** No new or queued request may run; an answer that is already running may finish. */
+    WITHDRAWN,
+
+    /** Running answers are cut too. */
+    CUT,
+}
+
+/** Lets queued and running requests see that their key was withdrawn. */
 public interface WithdrawalWatch {
+    /** The present state of the key called [keyName]; a key that was deleted counts as withdrawn. */
     public fun stateOf(keyName: String): KeyState
 }
--- a/src/main/kotlin/org/persimmonrelay/entry/DispatchGate.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/DispatchGate.kt
@@ -25,12 +25,11 @@
 import org.persimmonrelay.routing.AttemptEnd
 import org.persimmonrelay.routing.DispatchAction
 import org.persimmonrelay.routing.DispatchEvent
-import org.persimmonrelay.routing.DispatchRequest
 import org.persimmonrelay.routing.Dispatcher
 import org.persimmonrelay.routing.Placement
 import kotlin.time.Duration.Companion.seconds
 
-private typealias Placing = Either<Refusal.NotRun, Placement>
+private typealias Placing = Either<Refusal, Placement>
 
 /** Serialises one [dispatcher]. Thread-safe; its timer runs in [scope]. */
 public class DispatchGate(
@@ -46,9 +45,6 @@
     private var listed: List<BackendServer> = emptyList()
     private val heldUntil = HashMap<ServerId, Moment>()
 
-    /** Retries that this deployment allows. */
-    public val retries: RetryBudget = RetryBudget()
-
     @Volatile
     private var addresses: Map<ServerId, EngineAddress> = emptyMap()
 
@@ -58,11 +54,15 @@
     /** True when no request waits or runs. */
     public val isIdle: Boolean get() = synchronized(lock) { waiting.isEmpty() && running == 0 }
 
-    /** Waits until the dispatcher places or refuses [request]. Cancelling withdraws it. */
-    public suspend fun place(request: DispatchRequest, outputSoFar: Int): Either<Refusal.NotRun, Placement> {
+    /**
+     * Waits until the dispatcher places or refuses the request of [arrival], or gives up on it. Cancelling
+     * withdraws it.
+     */
+    public suspend fun place(arrival: DispatchEvent.Arrived): Either<Refusal, Placement> {
+        val request = arrival.request
         val answer = CompletableDeferred<Placing>()
         synchronized(lock) { waiting[request.id] = answer }
-        on(DispatchEvent.Arrived(request, outputSoFar))
+        on(arrival)
         return try {
             answer.await()
         } catch (e: CancellationException) {
@@ -125,6 +125,7 @@
         when (action) {
             is DispatchAction.Start -> start(action)
             is DispatchAction.Refuse -> waiting.remove(action.id)?.complete(action.refusal.left())
+            is DispatchAction.GiveUp -> waiting.remove(action.id)?.complete(action.refusal.left())
             is DispatchAction.WakeAt -> schedule(action.moment)
         }
     }
