--- a/src/main/kotlin/org/persimmonrelay/cli/MeasureCommand.kt
+++ b/src/main/kotlin/org/persimmonrelay/cli/MeasureCommand.kt
@@ -1,7 +1,8 @@
 package org.persimmonrelay.cli
 
 import org.kohsuke.args4j.Option
-import org.persimmonrelay.measure.ConfigurationMeasure
+import org.persimmonrelay.clock.SystemClock
+import org.persimmonrelay.measure.CatalogMeasure
 import org.persimmonrelay.measure.DutyMeasure
 import org.persimmonrelay.measure.Measure
 import org.persimmonrelay.measure.MeasureSuite
@@ -36,5 +37,9 @@
         return ExitCode.OK
     }
 
-    private fun measures(): List<Measure> = MeasureSuite.ofMesh() + ConfigurationMeasure() + DutyMeasure()
+    private fun measures(): List<Measure> = MeasureSuite.ofMesh() + CatalogMeasure(SystemClock, SEED) + DutyMeasure()
+
+    private companion object {
+        const val SEED = 1L
+    }
 }
--- a/src/main/kotlin/org/persimmonrelay/measure/CatalogMeasure.kt
+++ b/src/main/kotlin/org/persimmonrelay/measure/CatalogMeasure.kt
@@ -87,9 +87,9 @@
 
     private fun bytes(objects: List<CatalogObject>): Double {
         val snapshot = CatalogJson.encode(Snapshot(1, objects.map { StoredObject(1, it) }))
-        val before = HeapGauge.heapBytes()
+        val before = MemoryGauge.heapBytes()
         val state = loaded(snapshot)
-        val used = HeapGauge.heapBytes() - before
+        val used = MemoryGauge.heapBytes() - before
         check(state.current.version == 1L) { "The snapshot was not loaded." }
         return used.toDouble()
     }
@@ -101,17 +101,8 @@
         return stopwatch.medianMicros(SNAPSHOTS) { loaded(snapshot) }
     }
 
-<<<<<<< HEAD
-    private fun bytesPer(make: () -> List<CatalogObject>): Double {
-        val before = MemoryGauge.heapBytes()
-        val view = DefaultCatalogView.of(1, make().map { StoredObject(1, it) })
-        val after = MemoryGauge.heapBytes()
-        return (after - before).toDouble() / view.stored().size
-    }
-=======
     private fun loaded(snapshot: ByteArray): CatalogState =
         CatalogState(EventSink.NONE).also { it.adopt(CatalogJson.decodeSnapshot(snapshot)) }
->>>>>>> catalog
 
     private companion object {
         val SCALES = listOf(0.25, 0.5, 1.0)
