Stop work for callers that left before their call was handled

Cause: a caller whose connection closed before its call began was never noticed: its answer ran to the end on the engine for nobody (EntryRefusalTest, the vanishing caller, failed under load: 20 s bound, 40 s answer). Change: the connection is looked at once the call can be cancelled. A fault of the program is answered in the usual error form without its details, and a dispatcher that throws leaves no waiting request behind.

--- a/src/main/kotlin/org/persimmonrelay/entry/AnswerRelay.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/AnswerRelay.kt
@@ -42,9 +42,14 @@
             val running = launch { Run(job, channel).start() }
             job.onEnd { running.cancel() }
             running.join()
-            job.ended?.let { send(AnswerEvent.Failed(it)) }
+            job.ended?.let { send(cut(job, it)) }
         }
 
+    private fun cut(job: AnswerJob, refusal: Refusal): AnswerEvent {
+        if (refusal is Refusal.OutcomeUnknown) events.record(EntryEvent.ANSWER_CUT, "request" with job.dispatch.id)
+        return AnswerEvent.Failed(refusal)
+    }
+
     private inner class Run(private val job: AnswerJob, private val out: SendChannel<AnswerEvent>) {
         private val assembler = AnswerAssembler()
         private var attempt = 0
--- a/src/main/kotlin/org/persimmonrelay/entry/DispatchGate.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/DispatchGate.kt
@@ -62,12 +62,14 @@
         val request = arrival.request
         val answer = CompletableDeferred<Placing>()
         synchronized(lock) { waiting[request.id] = answer }
-        on(arrival)
         return try {
+            on(arrival)
             answer.await()
         } catch (e: CancellationException) {
             withdraw(request.id, answer)
             throw e
+        } finally {
+            synchronized(lock) { waiting.remove(request.id, answer) }
         }
     }
 
--- a/src/main/kotlin/org/persimmonrelay/entry/EntryServer.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/EntryServer.kt
@@ -1,6 +1,7 @@
 package org.persimmonrelay.entry
 
 import arrow.core.Either
+import arrow.core.left
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
 import io.ktor.server.application.Application
@@ -17,6 +18,7 @@
 import io.ktor.server.routing.post
 import io.ktor.server.routing.route
 import io.ktor.server.routing.routing
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -26,6 +28,7 @@
 import org.persimmonrelay.outcome.NotRunReason
 import org.persimmonrelay.outcome.Refusal
 import org.persimmonrelay.timeline.with
+import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -113,18 +116,27 @@
     }
 
     private suspend fun admitted(call: ApplicationCall, serve: suspend () -> Either<Refusal, Unit>) {
+        if (CallerConnection.isGone(call)) return
         when (requests.enter()) {
             Entrance.LEAVING -> refuse(call, ErrorAnswers.leaving())
             Entrance.FULL -> refuse(call, FULL)
             Entrance.ADMITTED ->
                 try {
-                    serve().onLeft { refuse(call, it) }
+                    runCatching { serve() }.getOrElse { unexpected(call, it) }.onLeft { refuse(call, it) }
                 } finally {
                     requests.exit()
                 }
         }
     }
 
+    /** Turns a fault of this program into an answer; what ends the call anyway goes on as it is. */
+    private fun unexpected(call: ApplicationCall, error: Throwable): Either<Refusal, Unit> {
+        if (error !is Exception || error is CancellationException || error is IOException) throw error
+        parts.events.record(EntryEvent.REQUEST_FAILED, "error" with error::class.simpleName)
+        if (call.response.isCommitted) throw error
+        return ErrorAnswers.unexpected().left()
+    }
+
     private suspend fun refuse(call: ApplicationCall, refusal: Refusal) {
         metrics.refused(refusal)
         if (requests.isLeaving) call.response.header(HttpHeaders.Connection, "close")
