Let roles follow the mix and shares span nodes in running nodes

Cause: role decisions, order execution and fair-share summaries existed, but no node drove them. Change: a duty per failure domain decides roles under its lease and drains by gossip; nodes tell each other what workspaces used; demand travels as totals; limits reach the dispatchers, by deployment.

--- a/src/main/kotlin/org/persimmonrelay/catalog/CatalogView.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/CatalogView.kt
@@ -32,7 +32,8 @@
     /** True when the service's selector picks [workspace]. */
     public fun mayUse(workspace: Workspace, service: PlainService): Boolean
 
-    public fun limitsFor(workspace: Workspace): List<Limit>
+    /** Limits that bind [workspace] in its use of [deployment]. */
+    public fun limitsFor(workspace: Workspace, deployment: Deployment): List<Limit>
 
     /** Every object, ordered by kind and name. */
     public val objects: List<CatalogObject>
--- a/src/main/kotlin/org/persimmonrelay/catalog/DefaultCatalogView.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/DefaultCatalogView.kt
@@ -29,7 +29,10 @@
     override fun deploymentsFor(workspace: Workspace): List<Deployment> =
         derived.deployments.admitting(workspace.labels)
 
-    override fun limitsFor(workspace: Workspace): List<Limit> = derived.limits.admitting(workspace.labels)
+    override fun limitsFor(workspace: Workspace, deployment: Deployment): List<Limit> =
+        derived.limits.admitting(workspace.labels).filter { limit ->
+            indexes.deployments.select(limit.deployments).any { it.name == deployment.name }
+        }
 
     override fun mayUse(workspace: Workspace, service: PlainService): Boolean =
         derived.services.admitting(workspace.labels).any { it.name == service.name }
--- a/src/main/kotlin/org/persimmonrelay/entry/CompletionHandler.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/CompletionHandler.kt
@@ -87,6 +87,7 @@
                 prefixBlocks = PromptBlocks.of(work.prompt),
                 priority = 0,
                 firstTokenBy = clock.now() + deployment.firstTokenSeconds.seconds,
+                limits = servers.view.limitsFor(caller.workspace, deployment),
             )
         val request =
             GenerateRequest(
--- a/src/main/kotlin/org/persimmonrelay/entry/DispatchGate.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/DispatchGate.kt
@@ -19,6 +19,7 @@
 import org.persimmonrelay.clock.Moment
 import org.persimmonrelay.engine.EngineAddress
 import org.persimmonrelay.engine.LoadReport
+import org.persimmonrelay.fairness.ShareSummary
 import org.persimmonrelay.identity.RequestId
 import org.persimmonrelay.identity.ServerId
 import org.persimmonrelay.outcome.Refusal
@@ -111,6 +112,12 @@
     }
 
     @OptIn(ExperimentalCoroutinesApi::class)
+    /** A peer told what its workspaces used of this deployment. */
+    public fun consumed(summary: ShareSummary): Unit = on(DispatchEvent.PeerConsumed(summary))
+
+    /** Asks the dispatcher something between two events. */
+    internal fun <T> ask(question: (Dispatcher) -> T): T = synchronized(lock) { question(dispatcher) }
+
     private fun withdraw(id: RequestId, answer: CompletableDeferred<Placing>) {
         val waited = synchronized(lock) { waiting.remove(id, answer) }
         if (waited) return on(DispatchEvent.Withdrawn(id))
--- a/src/main/kotlin/org/persimmonrelay/entry/DispatchGates.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/DispatchGates.kt
@@ -45,6 +45,10 @@
         all.forEach { it.gate.reported(report) }
     }
 
+    /** The present gate of each deployment in use, by its name. */
+    @Synchronized
+    public fun opened(): Map<String, DispatchGate> = gates.mapValues { it.value.gate }
+
     /** The servers of all deployments in use, each once. */
     @Synchronized
     public fun servers(): List<BackendServer> =
--- a/src/main/kotlin/org/persimmonrelay/entry/EntryServer.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/EntryServer.kt
@@ -59,6 +59,9 @@
         )
     private val server = embeddedServer(Netty, configure = { configure() }) { module() }
 
+    /** What the dispatchers tell other nodes and hear from them. */
+    public val exchange: DispatchExchange = DispatchExchange(gates, parts.clock)
+
     /** Requests in hand. */
     public val openRequests: Int get() = requests.count
 
--- a/src/main/kotlin/org/persimmonrelay/measure/BenchCatalog.kt
+++ b/src/main/kotlin/org/persimmonrelay/measure/BenchCatalog.kt
@@ -72,5 +72,5 @@
 
     override fun mayUse(workspace: Workspace, service: PlainService): Boolean = false
 
-    override fun limitsFor(workspace: Workspace): List<Limit> = emptyList()
+    override fun limitsFor(workspace: Workspace, deployment: Deployment): List<Limit> = emptyList()
 }
--- a/src/main/kotlin/org/persimmonrelay/measure/CatalogChangeTimes.kt
+++ b/src/main/kotlin/org/persimmonrelay/measure/CatalogChangeTimes.kt
@@ -76,8 +76,10 @@
 
     private fun askAll(view: DefaultCatalogView) {
         val workspace = checkNotNull(view.workspace("workspace-0")) { "The configuration has no workspace." }
-        view.deploymentsFor(workspace).forEach { view.serversOf(it) }
-        view.limitsFor(workspace)
+        view.deploymentsFor(workspace).forEach {
+            view.serversOf(it)
+            view.limitsFor(workspace, it)
+        }
     }
 
     private fun CatalogRepository.applyAll(objects: List<CatalogObject>) = runBlocking {
--- a/src/main/kotlin/org/persimmonrelay/node/Node.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/Node.kt
@@ -4,6 +4,9 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.combine
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
 import org.persimmonrelay.admin.AdminServer
@@ -16,12 +19,16 @@
 import org.persimmonrelay.clock.SystemClock
 import org.persimmonrelay.engine.EngineTimeouts
 import org.persimmonrelay.engine.KtorEngineClient
+import org.persimmonrelay.engine.LoadReport
 import org.persimmonrelay.entry.CallerAccess
 import org.persimmonrelay.entry.EntryParts
 import org.persimmonrelay.entry.EntryServer
 import org.persimmonrelay.entry.EntrySettings
+import org.persimmonrelay.fleet.FleetManager
+import org.persimmonrelay.fleet.FleetReceivers
 import org.persimmonrelay.identity.Incarnation
 import org.persimmonrelay.identity.NodeId
+import org.persimmonrelay.identity.ServerId
 import org.persimmonrelay.membership.MemberState
 import org.persimmonrelay.once.ClaimSweep
 import org.persimmonrelay.once.TableOnceManager
@@ -64,9 +71,29 @@
             events = core.events,
         )
     private val usage = UsageRecorder(platform.reliableTable, clock, core.incarnation, core.events)
+    private val latestLoads = MutableStateFlow<Map<ServerId, LoadReport>>(emptyMap())
+    private val outOfWork = MutableStateFlow<Set<ServerId>>(emptySet())
     private val loads = EngineLoads(engines, core.catalog.state, core.summaries)
+    private val report = { server: ServerId -> latestLoads.value[server] }
+    private val drains =
+        GossipDrains(core.gossip, clock, report, settings.bounds.drainSeconds.seconds)
+    private val demand = DemandGossip(core.gossip)
+    private val fleet =
+        FleetManager(
+            table = platform.reliableTable,
+            leases = core.leases,
+            receivers = FleetReceivers(engines, platform.orders, platform.hosts, platform.weights),
+            drains = drains,
+            clock = clock,
+            domains = ::engineDomains,
+            newOperation = core.operations::next,
+            orderWait = core.leaseTerms.duration + core.leaseTerms.tolerance + core.leaseTerms.messageLifetime,
+            events = core.events,
+        )
+    private val roles = RoleDuty(core.leases, fleet, RoleSources(core.catalog.state, demand::total, report), clock)
     private val upkeep = UpkeepDuties(core.leases, windowClosers(), claimSweep())
     private val entry = EntryServer(entrySettings(), entryParts())
+    private val shares = ShareExchange(core.network, core.membership, entry.exchange, core.incarnation)
     private val admin =
         AdminServer(
             listen = settings.admin,
@@ -87,10 +114,16 @@
     /** Joins the others, loads the configuration and begins to serve. */
     public suspend fun start(): NodeAddresses {
         core.events.record(NodeEvent.NODE_STARTING, "node" with core.node, "incarnation" with core.incarnation)
+        shares.serve()
         core.join()
         once.start()
         usage.start(control.scope)
         control.scope.launch { loads.run() }
+        control.scope.launch { core.summaries.reports.collect { latestLoads.value = it } }
+        control.scope.launch { followDrains() }
+        control.scope.launch { spreadDemand() }
+        control.scope.launch { shares.run() }
+        roles.start(control.scope)
         upkeep.start(control.scope)
         val adminPort = admin.start()
         core.catalog.follower.ready.first { it }
@@ -120,6 +153,21 @@
         it.address.node == node && it.address.incarnation == incarnation && it.state == MemberState.ALIVE
     }
 
+    private suspend fun followDrains() =
+        core.hostWatch.leaving.combine(drains.draining, Set<ServerId>::plus).collect { outOfWork.value = it }
+
+    private suspend fun spreadDemand() {
+        while (true) {
+            demand.add(entry.exchange.takeDemand())
+            delay(DEMAND_PERIOD)
+        }
+    }
+
+    private fun engineDomains(): Int {
+        val view = core.catalog.state.current
+        return view.deployments().flatMap(view::serversOf).distinctBy { it.domain }.size
+    }
+
     private fun windowClosers(): List<WindowCloser> {
         val settings = UsageSettings()
         return (0 until settings.shards).map { shard ->
@@ -156,7 +204,7 @@
         events = core.events,
         registry = core.registry,
         loads = core.summaries.reports,
-        leaving = core.hostWatch.leaving,
+        leaving = outOfWork,
         dispatcherFactory = ::dispatcherFor,
     )
 
@@ -164,4 +212,8 @@
         RoutingSettings(region = settings.region, betweenTokensMillis = deployment.betweenTokensMillis),
         Random(random.nextLong()),
     )
+
+    private companion object {
+        val DEMAND_PERIOD = 1.seconds
+    }
 }
--- a/src/main/kotlin/org/persimmonrelay/node/NodeCore.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/NodeCore.kt
@@ -72,6 +72,11 @@
             keySecret = secrets.keyDigest,
             bounds = CatalogBounds.of(settings.bounds.configPollMillis, settings.bounds.keyFreshnessSeconds),
         )
+    val leaseTerms =
+        LeaseTerms(
+            duration = settings.bounds.leaseSeconds.seconds,
+            tolerance = settings.bounds.leaseToleranceSeconds.seconds,
+        )
     val leases =
         LeaseManager(
             table = platform.reliableTable,
@@ -81,7 +86,7 @@
             evidence = MemberEvidence(membership, network),
             liveNodes = ::liveNodes,
             newOperation = operations::next,
-            terms = leaseTerms(),
+            terms = leaseTerms,
             events = events,
         )
 
@@ -98,11 +103,6 @@
 
     fun liveNodes(): List<NodeId> = membership.view.value.members.filter { it.state.isPresent }.map { it.address.node }
 
-    private fun leaseTerms() = LeaseTerms(
-        duration = settings.bounds.leaseSeconds.seconds,
-        tolerance = settings.bounds.leaseToleranceSeconds.seconds,
-    )
-
     private fun catalogDependencies() =
         CatalogDependencies(platform.reliableTable, platform.objects, network, membership, clock, random, events)
 }
--- a/src/main/kotlin/org/persimmonrelay/routing/Dispatch.kt
+++ b/src/main/kotlin/org/persimmonrelay/routing/Dispatch.kt
@@ -10,6 +10,9 @@
 import org.persimmonrelay.clock.Moment
 import org.persimmonrelay.engine.LoadReport
 import org.persimmonrelay.fairness.ShareSummary
+import org.persimmonrelay.identity.DeploymentId
+import org.persimmonrelay.identity.Incarnation
+import org.persimmonrelay.identity.NodeId
 import org.persimmonrelay.identity.RequestId
 import org.persimmonrelay.identity.ServerId
 import org.persimmonrelay.identity.WorkspaceId
@@ -88,4 +91,11 @@
 /** Decides for one deployment on one node. Not thread-safe; the owner serialises calls. */
 public interface Dispatcher {
     public fun on(event: DispatchEvent, now: Moment): List<DispatchAction>
+
+    /** The work asked of this node since the last call, refused requests included. */
+    public fun takeDemand(): Demand = Demand.NONE
+
+    /** What to tell the peers about consumption of [deployment]; null when this dispatcher doesn't share. */
+    public fun summary(node: NodeId, incarnation: Incarnation, deployment: DeploymentId, now: Moment): ShareSummary? =
+        null
 }
--- a/src/main/kotlin/org/persimmonrelay/routing/ExpectedTimeDispatcher.kt
+++ b/src/main/kotlin/org/persimmonrelay/routing/ExpectedTimeDispatcher.kt
@@ -10,6 +10,9 @@
 import org.persimmonrelay.fairness.FairShareLedger
 import org.persimmonrelay.fairness.LimitManager
 import org.persimmonrelay.fairness.ShareSummary
+import org.persimmonrelay.identity.DeploymentId
+import org.persimmonrelay.identity.Incarnation
+import org.persimmonrelay.identity.NodeId
 import org.persimmonrelay.identity.RequestId
 import org.persimmonrelay.identity.ServerId
 import org.persimmonrelay.outcome.NotRunReason
@@ -48,8 +51,10 @@
     public val waitingRequests: Int
         get() = queue.size
 
-    /** The work asked of this node since the last call, refused requests included. */
-    public fun takeDemand(): Demand = demand.take()
+    override fun takeDemand(): Demand = demand.take()
+
+    override fun summary(node: NodeId, incarnation: Incarnation, deployment: DeploymentId, now: Moment): ShareSummary =
+        ledger.summary(node, incarnation, deployment, now)
 
     override fun on(event: DispatchEvent, now: Moment): List<DispatchAction> {
         val actions = ArrayList<DispatchAction>(2)
--- a/src/test/kotlin/org/persimmonrelay/catalog/DefaultCatalogViewTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/catalog/DefaultCatalogViewTest.kt
@@ -58,7 +58,7 @@
         return listOf(
             view.objects,
             workspaces.map(view::deploymentsFor),
-            workspaces.map(view::limitsFor),
+            workspaces.map { workspace -> deployments.map { view.limitsFor(workspace, it) } },
             workspaces.map { workspace -> services.map { view.mayUse(workspace, it) } },
             deployments.map { view.serversOf(it) },
             services.map { view.serversOf(it) },
--- a/src/test/kotlin/org/persimmonrelay/entry/FakeCatalog.kt
+++ b/src/test/kotlin/org/persimmonrelay/entry/FakeCatalog.kt
@@ -84,5 +84,5 @@
 
     override fun mayUse(workspace: Workspace, service: PlainService): Boolean = workspace.name !in closedTo
 
-    override fun limitsFor(workspace: Workspace): List<Limit> = emptyList()
+    override fun limitsFor(workspace: Workspace, deployment: Deployment): List<Limit> = emptyList()
 }
