Keep engine assignments until the members change

Cause: nine tenths of the processor time of a measured mesh went into rendezvous hashes: each node asked for each engine of its region each second, and sorting computed weights at each comparison. Change: EngineSummaries keeps its answers for one view, Rendezvous weighs each candidate once, gossip keeps the set of present nodes for one view.

--- a/src/main/kotlin/org/persimmonrelay/membership/EngineSummaries.kt
+++ b/src/main/kotlin/org/persimmonrelay/membership/EngineSummaries.kt
@@ -59,14 +59,24 @@
     private val facts = gossip.topic("engine-facts", EngineFactList.serializer())
     private val numbers = gossip.topic("engine-load", EngineNumbers.serializer())
 
+    private val assignments = HashMap<ServerId, Boolean>()
+    private var assignedIn: MembershipView? = null
+
     /** The latest report of each engine that a live node of this region collects, by engine. */
     public val reports: Flow<Map<ServerId, LoadReport>> = combine(facts.local, numbers.local, ::join)
 
-    /** True when this node has to ask [server], an engine in [region], for its load. */
+    /**
+     * True when this node has to ask [server], an engine in [region], for its load. To be called on one thread;
+     * answers are kept until the members change.
+     */
     public fun collects(server: ServerId, region: Region): Boolean {
         val view = membership.view.value
-        val collector = CollectorAssignment.collectorOf(server, region, view.members)
-        return collector?.address?.node == view.self.address.node
+        if (view !== assignedIn) assignments.clear()
+        assignedIn = view
+        return assignments.getOrPut(server) {
+            val collector = CollectorAssignment.collectorOf(server, region, view.members)
+            collector?.address?.node == view.self.address.node
+        }
     }
 
     /** Spreads [collected], the latest reports of all engines that this node collects. */
--- a/src/main/kotlin/org/persimmonrelay/membership/Rendezvous.kt
+++ b/src/main/kotlin/org/persimmonrelay/membership/Rendezvous.kt
@@ -12,18 +12,19 @@
     private val HASH = Hashing.murmur3_128()
 
     /** The [count] best of [candidates] for [key], best first. */
-    public fun pick(key: String, candidates: Collection<Member>, count: Int): List<Member> = candidates
-        .sortedWith(compareByDescending<Member> { weight(key, it) }.thenBy { it.address.node.value })
-        .take(count)
+    public fun pick(key: String, candidates: Collection<Member>, count: Int): List<Member> =
+        candidates.map { Weighted(it, weight(key, it)) }.sortedWith(ORDER).take(count).map { it.member }
 
     /** The best of [candidates] for [key], or null when there is none. */
     public fun best(key: String, candidates: Collection<Member>): Member? =
-        candidates.maxWithOrNull(compareBy<Member> { weight(key, it) }.thenByDescending { it.address.node.value })
+        candidates.map { Weighted(it, weight(key, it)) }.minWithOrNull(ORDER)?.member
 
     private fun weight(key: String, member: Member): Long =
-        HASH.newHasher().putUnencodedChars(key).putChar('\u0000').putUnencodedChars(member.address.node.value)
-            .hash()
-            .asLong()
+        HASH.hashString("$key\u0000${member.address.node.value}", Charsets.UTF_8).asLong()
+
+    private class Weighted(val member: Member, val weight: Long)
+
+    private val ORDER = compareByDescending<Weighted> { it.weight }.thenBy { it.member.address.node.value }
 }
 
 /** Which node reads an engine's load and cache events and spreads their summary. */
--- a/src/main/kotlin/org/persimmonrelay/membership/SwimGossip.kt
+++ b/src/main/kotlin/org/persimmonrelay/membership/SwimGossip.kt
@@ -51,6 +51,8 @@
     private var generation = 0L
     private var shownVersion = -1L
     private var shownMembers: MembershipView? = null
+    private var presentIn: MembershipView? = null
+    private var present: Set<NodeId> = emptySet()
 
     init {
         network.serve(GossipMethods.EXCHANGE) { request -> withContext(control) { answer(request) } }
@@ -152,7 +154,12 @@
         store.forget { it in present }
     }
 
-    private fun presentNodes(): Set<NodeId> = membership.view.value.peers.mapTo(HashSet()) { it.address.node }
+    private fun presentNodes(): Set<NodeId> {
+        val view = membership.view.value
+        if (view !== presentIn) present = view.peers.mapTo(HashSet()) { it.address.node }
+        presentIn = view
+        return present
+    }
 
     private fun show() {
         val view = membership.view.value
