Measure routing by the number of engines, and break a cycle of packages

Cause: ArchitectureTest failed: experiment and measure used each other through LeaseCost and OnceCost. Routing had no slope. Change: the two classes move to experiment.laws, whose loads make them; RoutingMeasure joins the suite. Conclusion: ArchitectureTest, EventCatalogueTest and MeasureSuiteTest pass.

--- a/src/main/kotlin/org/persimmonrelay/experiment/laws/LeaseLoad.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/laws/LeaseLoad.kt
@@ -6,7 +6,6 @@
 import org.persimmonrelay.lease.Duty
 import org.persimmonrelay.lease.LeaseManager
 import org.persimmonrelay.lease.PredecessorEvidence
-import org.persimmonrelay.measure.LeaseCost
 import org.persimmonrelay.platform.ReliableTable
 import org.persimmonrelay.standin.StandInTable
 import java.lang.management.ManagementFactory
--- a/src/main/kotlin/org/persimmonrelay/experiment/laws/OnceLoad.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/laws/OnceLoad.kt
@@ -6,7 +6,6 @@
 import org.persimmonrelay.identity.NodeId
 import org.persimmonrelay.identity.OperationId
 import org.persimmonrelay.identity.WorkspaceId
-import org.persimmonrelay.measure.OnceCost
 import org.persimmonrelay.once.CallEnd
 import org.persimmonrelay.once.OnceAnswer
 import org.persimmonrelay.once.OnceClaim
--- a/src/main/kotlin/org/persimmonrelay/measure/LeaseMeasure.kt
+++ b/src/main/kotlin/org/persimmonrelay/measure/LeaseMeasure.kt
@@ -1,23 +1,10 @@
 package org.persimmonrelay.measure
 
-import kotlinx.serialization.Serializable
 import org.persimmonrelay.experiment.laws.LeaseComparison
+import org.persimmonrelay.experiment.laws.LeaseCost
 import org.persimmonrelay.experiment.laws.LeaseFigures
 import org.persimmonrelay.experiment.laws.LeaseLoad
 
-/**
- * What leases cost with [nodes] nodes and [duties] duties, without faults: rows a second of the table, and processor
- * time of one node in each second, the virtual network and table included.
- */
-@Serializable
-public data class LeaseCost(
-    val nodes: Int,
-    val duties: Int,
-    val readsPerSecond: Double,
-    val writesPerSecond: Double,
-    val processorMicrosPerNodeSecond: Double,
-)
-
 /** Measures the cost and the quality of leases in virtual time. */
 public object LeaseMeasure {
     /** The cost at the sizes of today and up to the size designed for. */
--- a/src/main/kotlin/org/persimmonrelay/measure/MeasureSuite.kt
+++ b/src/main/kotlin/org/persimmonrelay/measure/MeasureSuite.kt
@@ -65,8 +65,8 @@
     }
 
     public companion object {
-        /** The measures of the parts that nodes share: members, gossip, peer calls, the time line. */
+        /** The measures of the parts that nodes share: members, gossip, peer calls, the time line, routing. */
         public fun ofMesh(): List<Measure> =
-            listOf(MemberMeasure(), MeshMeasure(), PeerCallMeasure(), TimelineMeasure())
+            listOf(MemberMeasure(), MeshMeasure(), PeerCallMeasure(), TimelineMeasure(), RoutingMeasure())
     }
 }
