--- a/src/test/kotlin/org/persimmonrelay/fleet/FleetManagerTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/fleet/FleetManagerTest.kt
@@ -102,6 +102,23 @@
         )
     }
 
+    @Test
+    fun `an order left by an earlier holder is sent again only after a drain`() = runTest {
+        val fleet = manager()
+        engine.silent = true
+        fleet.change(SERVER, PREFILL)
+        engine.silent = false
+        drains.succeeds = false
+
+        val undrained = fleet.change(SERVER, PREFILL)
+        val orderedUndrained = engine.obeyed.size
+        drains.succeeds = true
+
+        assertIs<ChangeResult.Unsettled>(undrained)
+        assertEquals(0, orderedUndrained)
+        assertEquals(ChangeResult.Done, fleet.change(SERVER, PREFILL))
+    }
+
     @Test
     fun `an order to a host that is gone ends`() = runTest {
         val fleet = manager()
