--- a/src/main/kotlin/org/persimmonrelay/catalog/SnapshotRepository.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/SnapshotRepository.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import arrow.core.raise.either
+import kotlinx.coroutines.withContext
 import org.persimmonrelay.platform.CommitOutcome
 import org.persimmonrelay.platform.Condition
 import org.persimmonrelay.platform.ObjectStore
@@ -56,7 +57,8 @@
         result.onLeft { events.record(CatalogEvent.SNAPSHOT_FAILED, "reason" with it.message) }
     }
 
-    private fun encode(view: DefaultCatalogView): ByteArray = CatalogJson.encode(Snapshot(view.version, view.stored()))
+    private suspend fun encode(view: DefaultCatalogView): ByteArray =
+        withContext(background) { CatalogJson.encode(Snapshot(view.version, view.stored())) }
 
     private suspend fun read(name: String): Either<StoreUnavailable, Snapshot?> = objects.get(name).map { bytes ->
         if (bytes == null) return@map null
--- a/src/main/kotlin/org/persimmonrelay/experiment/laws/ConfigLaw.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/laws/ConfigLaw.kt
@@ -1,6 +1,7 @@
 /*
  * The law on configuration, tried on the real service in virtual time: a few nodes around one table, operators
- * that race each other at random nodes, and faults alone and in pairs. After every event and at the end it is checked that
+ * that race each other at random nodes, and faults alone and in pairs. After every event and at the end it is
+ * checked that
  *
  *  - no node goes back to an older version, and one version has the same content everywhere;
  *  - an accepted change is never lost, and a refused one never made;
--- a/src/main/kotlin/org/persimmonrelay/experiment/laws/Disturbances.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/laws/Disturbances.kt
@@ -28,13 +28,13 @@
     fun link(one: Int, other: Int, since: Moment, until: Moment): Boolean = link[one][other].touches(since, until)
 
     private class Spans {
-        private val spans = mutableListOf<Pair<Moment, Moment>>()
+        private val known = mutableListOf<Pair<Moment, Moment>>()
 
         fun add(from: Moment, until: Moment) {
-            spans += from to until
+            known += from to until
         }
 
-        fun touches(since: Moment, until: Moment): Boolean = spans.any { it.first <= until && it.second >= since }
+        fun touches(since: Moment, until: Moment): Boolean = known.any { it.first <= until && it.second >= since }
     }
 
     private companion object {
