--- a/src/main/kotlin/org/persimmonrelay/catalog/CatalogFollower.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/CatalogFollower.kt
@@ -14,7 +14,6 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.persimmonrelay.clock.Clock
-import org.persimmonrelay.clock.Moment
 import org.persimmonrelay.timeline.EventSink
 import org.persimmonrelay.timeline.with
 import kotlin.random.Random
@@ -34,9 +33,6 @@
     private val events: EventSink,
 ) {
     private val loaded = MutableStateFlow(false)
-
-    @Volatile
-    private var pollBegan: Moment? = null
     private val turns = AskTurns(random)
     private var storeAnswers = true
     private var wasFresh = true
@@ -60,9 +56,7 @@
     /** Reads the head row and adopts what is missing; true when the table service answered. */
     public suspend fun pollOnce(): Boolean {
         val began = clock.now()
-        pollBegan = began
         val answered = withTimeoutOrNull(POLL_TIMEOUT) { repository.catchUp().getOrNull() } != null
-        if (answered) pollBegan = null
         if (answered) guard.onHeadRead(began, clock.now())
         noteStore(answered)
         noteReady()
@@ -79,10 +73,7 @@
     }
 
     private fun isStoreConfirmed(): Boolean {
-        val now = clock.now()
-        val unanswered = pollBegan?.let { now - it }
-        if (unanswered != null && unanswered > SLOW_POLL) return false
-        val age = guard.storeAge(now) ?: return false
+        val age = guard.storeAge(clock.now()) ?: return false
         return age < pollEvery * CONFIRMED_POLLS
     }
 
@@ -110,9 +101,6 @@
         const val LONGEST_JITTER = 1.1
         const val CONFIRMED_POLLS = 1.5
         val ASK_EVERY = 500.milliseconds
-
-        /** A poll that takes longer than this makes the node ask its peers meanwhile. */
-        val SLOW_POLL = 150.milliseconds
         val POLL_TIMEOUT = 5.seconds
     }
 }
