--- a/src/main/kotlin/org/persimmonrelay/catalog/CatalogView.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/CatalogView.kt
@@ -16,6 +16,9 @@
 
     public fun deployment(name: String): Deployment?
 
+    /** All deployments, by name. */
+    public fun deployments(): List<Deployment>
+
     /** Deployments that [workspace] may use, by name. */
     public fun deploymentsFor(workspace: Workspace): List<Deployment>
 
@@ -29,7 +32,8 @@
     /** True when the service's selector picks [workspace]. */
     public fun mayUse(workspace: Workspace, service: PlainService): Boolean
 
-    public fun limitsFor(workspace: Workspace): List<Limit>
+    /** Limits that bind [workspace] in its use of [deployment]. */
+    public fun limitsFor(workspace: Workspace, deployment: Deployment): List<Limit>
 
     /** Every object, ordered by kind and name. */
     public val objects: List<CatalogObject>
--- a/src/main/kotlin/org/persimmonrelay/experiment/FleetRun.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/FleetRun.kt
@@ -116,6 +116,6 @@
         private const val COLD_MINUTES = 4
         private const val PLAN_MINUTES = 1
         private const val BIN_MINUTES = (PeakForecast.BIN_SECONDS / SECONDS_PER_MINUTE).toInt()
-        private const val CHART_MINUTES = 15
+        private const val CHART_MINUTES = 60
     }
 }
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/membership/Rendezvous.kt
@@ -0,0 +1,35 @@
+package org.persimmonrelay.membership
+
+import com.google.common.hash.Hashing
+import org.persimmonrelay.identity.Region
+import org.persimmonrelay.identity.ServerId
+
+/**
+ * Highest-random-weight hashing: nodes with the same view pick the same members, and a change of members moves
+ * few picks.
+ */
+public object Rendezvous {
+    private val HASH = Hashing.murmur3_128()
+
+    /** The [count] best of [candidates] for [key], best first. */
+    public fun pick(key: String, candidates: Collection<Member>, count: Int): List<Member> =
+        candidates.map { Weighted(it, weight(key, it)) }.sortedWith(ORDER).take(count).map { it.member }
+
+    /** The best of [candidates] for [key], or null when there is none. */
+    public fun best(key: String, candidates: Collection<Member>): Member? =
+        candidates.map { Weighted(it, weight(key, it)) }.minWithOrNull(ORDER)?.member
+
+    private fun weight(key: String, member: Member): Long =
+        HASH.hashString("$key\u0000${member.address.node.value}", Charsets.UTF_8).asLong()
+
+    private class Weighted(val member: Member, val weight: Long)
+
+    private val ORDER = compareByDescending<Weighted> { it.weight }.thenBy { it.member.address.node.value }
+}
+
+/** Which node reads an engine's load and cache events and spreads their summary. */
+public object CollectorAssignment {
+    /** The collector of [server] in [region] among [members], or null when the region has no serving node. */
+    public fun collectorOf(server: ServerId, region: Region, members: List<Member>): Member? =
+        Rendezvous.best(server.value, members.filter { it.region == region && it.state.isServing })
+}
