--- /dev/null
+++ b/src/test/kotlin/org/persimmonrelay/experiment/StonesTargetsTest.kt
@@ -0,0 +1,19 @@
+package org.persimmonrelay.experiment
+
+import kotlin.test.Test
+import kotlin.test.assertTrue
+
+/** The stated targets of `stones`, apart from the others since they are not met yet. */
+class StonesTargetsTest {
+    @Test
+    fun `stones meets its targets with seed 11`() = assertTargetsMet(11)
+
+    @Test
+    fun `stones meets its targets with seed 12`() = assertTargetsMet(12)
+
+    private fun assertTargetsMet(seed: Long) {
+        val report = ScenarioExperiment().run(Scenario.STONES, seed)
+
+        assertTrue(report.met, report.targets.filterNot { it.met }.toString())
+    }
+}
