Name the faults of the membership trial and import classes once

Cause: detekt counted the fault numbers as magic, and ArchitectureTest imported all classes for each test. Change: an enum in the same order, so the schedules stay the same; one import.

--- a/src/main/kotlin/org/persimmonrelay/experiment/laws/MembershipLaw.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/laws/MembershipLaw.kt
@@ -52,12 +52,12 @@
 
     private fun step() {
         val node = regionOf.keys.sortedBy { it.value }.random(random)
-        when (random.nextInt(FAULTS)) {
-            0 -> kill(node)
-            1 -> start(node, regionOf.getValue(node))
-            2 -> pauseFor(node, random.nextInt(2, LONGEST_SECONDS))
-            3 -> splitFor(node, random.nextInt(2, LONGEST_SECONDS))
-            4 -> cutFor(regionOf.getValue(node), random.nextInt(2, LONGEST_SECONDS))
+        when (Fault.entries.random(random)) {
+            Fault.KILL -> kill(node)
+            Fault.RESTART -> start(node, regionOf.getValue(node))
+            Fault.PAUSE -> pauseFor(node, random.nextInt(2, LONGEST_SECONDS))
+            Fault.SPLIT -> splitFor(node, random.nextInt(2, LONGEST_SECONDS))
+            Fault.CUT -> cutFor(regionOf.getValue(node), random.nextInt(2, LONGEST_SECONDS))
         }
         advance(random.nextInt(1, QUIET_SECONDS))
     }
@@ -112,6 +112,8 @@
         second++
     }
 
+    private enum class Fault { KILL, RESTART, PAUSE, SPLIT, CUT }
+
     private companion object {
         val REGIONS = listOf("east", "north", "south")
         const val NODES_PER_REGION = 4
@@ -121,7 +123,6 @@
         const val LOSS_PERCENT = 10
         const val PERCENT = 100.0
         const val STEPS = 5
-        const val FAULTS = 5
         const val LONGEST_SECONDS = 20
         const val QUIET_SECONDS = 12
     }
--- a/src/test/kotlin/org/persimmonrelay/architecture/ArchitectureTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/architecture/ArchitectureTest.kt
@@ -11,9 +11,6 @@
 import kotlin.test.assertTrue
 
 class ArchitectureTest {
-    private val classes: JavaClasses =
-        ClassFileImporter().withImportOption(ImportOption.DoNotIncludeTests()).importPackages(ROOT)
-
     @Test
     fun `packages depend on lower ones only`() {
         assertEquals(emptyList(), dependencies().filterNot { (from, to) -> isAllowed(from, to) })
@@ -66,6 +63,9 @@
 
     private companion object {
         const val ROOT = "org.persimmonrelay"
+        val classes: JavaClasses by lazy {
+            ClassFileImporter().withImportOption(ImportOption.DoNotIncludeTests()).importPackages(ROOT)
+        }
         const val MAX_LINES = 350
         val GRAB_BAGS = setOf("util", "utils", "common", "helpers", "misc")
 
