Decide roles in a node's own region, where it knows the engines' load

Cause: load reports stay in their region, so a node that held the duty of another region's failure domain never saw its engines and never changed a role. A drain could also end a check early, since idleness was counted from the last look at a busy engine.

--- a/src/main/kotlin/org/persimmonrelay/node/GossipDrains.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/GossipDrains.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.flow.combine
 import kotlinx.serialization.Serializable
 import org.persimmonrelay.clock.Clock
+import org.persimmonrelay.clock.Moment
 import org.persimmonrelay.engine.LoadReport
 import org.persimmonrelay.fleet.Drains
 import org.persimmonrelay.identity.ServerId
@@ -41,10 +42,10 @@
     override suspend fun drain(server: ServerId): Boolean {
         mark { own += server }
         val since = clock.now()
-        var quietSince = since
+        var idleSince: Moment? = null
         while (clock.now() - since < bound) {
-            if (!isIdle(server)) quietSince = clock.now()
-            if (clock.now() - quietSince >= QUIET) return true
+            idleSince = if (isIdle(server)) idleSince ?: clock.now() else null
+            if (idleSince != null && clock.now() - idleSince >= QUIET) return true
             delay(CHECK_EVERY)
         }
         return true
--- a/src/main/kotlin/org/persimmonrelay/node/Node.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/Node.kt
@@ -70,7 +70,9 @@
             newOperation = core.operations::next,
             events = core.events,
         )
-    private val usage = UsageRecorder(platform.reliableTable, clock, core.incarnation, core.events)
+    private val usageSettings = UsageSettings(shards = settings.bounds.usageShards)
+    private val usage =
+        UsageRecorder(platform.reliableTable, clock, core.incarnation, core.events, usageSettings)
     private val latestLoads = MutableStateFlow<Map<ServerId, LoadReport>>(emptyMap())
     private val outOfWork = MutableStateFlow<Set<ServerId>>(emptySet())
     private val loads = EngineLoads(engines, core.catalog.state, core.summaries)
@@ -90,7 +92,8 @@
             orderWait = core.leaseTerms.duration + core.leaseTerms.tolerance + core.leaseTerms.messageLifetime,
             events = core.events,
         )
-    private val roles = RoleDuty(core.leases, fleet, RoleSources(core.catalog.state, demand::total, report), clock)
+    private val roles =
+        RoleDuty(core.leases, fleet, RoleSources(settings.region, core.catalog.state, demand::total, report), clock)
     private val upkeep = UpkeepDuties(core.leases, windowClosers(), claimSweep())
     private val entry = EntryServer(entrySettings(), entryParts())
     private val shares = ShareExchange(core.network, core.membership, entry.exchange, core.incarnation)
@@ -169,7 +172,7 @@
     }
 
     private fun windowClosers(): List<WindowCloser> {
-        val settings = UsageSettings()
+        val settings = usageSettings
         return (0 until settings.shards).map { shard ->
             WindowCloser(
                 table = platform.reliableTable,
--- a/src/main/kotlin/org/persimmonrelay/node/RoleDuty.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/RoleDuty.kt
@@ -26,16 +26,17 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** What a role duty reads of the rest of the system. */
+/** What a role duty reads of the rest of the system. [region] is the node's own. */
 internal class RoleSources(
+    val region: String,
     val catalog: CatalogSource,
     val demand: () -> DemandTotals,
     val report: (ServerId) -> LoadReport?,
 )
 
 /**
- * Lets engines' roles follow the mix, in the failure domains whose duty this node holds. All state is the control
- * thread's.
+ * Lets engines' roles follow the mix, in the failure domains whose duty this node holds. Nodes compete for those of
+ * their own region only, where they know the engines' load. All state is the control thread's.
  */
 internal class RoleDuty(
     private val leases: LeaseManager,
@@ -69,7 +70,10 @@
         val view = sources.catalog.view.value
         val totals = sources.demand()
         view.deployments().forEach { deployment ->
-            val byDomain = view.serversOf(deployment).filterNot { it.drain }.groupBy { FailureDomain(it.domain) }
+            val byDomain =
+                view.serversOf(deployment)
+                    .filter { it.region == sources.region && !it.drain }
+                    .groupBy { FailureDomain(it.domain) }
             byDomain.forEach { (domain, servers) -> decide(scope, deployment, domain, servers, totals) }
         }
     }
--- a/src/main/kotlin/org/persimmonrelay/settings/NodeSettings.kt
+++ b/src/main/kotlin/org/persimmonrelay/settings/NodeSettings.kt
@@ -64,6 +64,7 @@
     val progressTimeoutSeconds: Double = 10.0,
     val drainSeconds: Double = 120.0,
     val timelineEvents: Int = 4_096,
+    val usageShards: Int = 1,
 ) {
     private companion object {
         const val DEFAULT_BODY_BYTES = 8L * 1024 * 1024
--- a/src/main/kotlin/org/persimmonrelay/settings/SettingsValidator.kt
+++ b/src/main/kotlin/org/persimmonrelay/settings/SettingsValidator.kt
@@ -74,6 +74,7 @@
         Range("progressTimeoutSeconds", bounds.progressTimeoutSeconds, MIN_TIMEOUT_SECONDS),
         Range("drainSeconds", bounds.drainSeconds, 0.0),
         Range("timelineEvents", bounds.timelineEvents.toDouble(), 1.0),
+        Range("usageShards", bounds.usageShards.toDouble(), 1.0),
     ).filter { it.value < it.least }
         .map { SettingsMistake("$.bounds.${it.name}", "${it.value}", "at least ${it.least}", "raise it") }
 
