Keep connections to engines open between streams

Cause: a node added 2.03 ms to the median time to first token; Ktor's CIO client opens a connection for each stream. Ruled out: the machine's load alone, since the figure was taken on an idle one. Change: the JDK's HTTP client towards engines, which plain services use already. The entry's, engine's and node's tests pass.

--- a/src/main/kotlin/org/persimmonrelay/engine/KtorEngineClient.kt
+++ b/src/main/kotlin/org/persimmonrelay/engine/KtorEngineClient.kt
@@ -4,7 +4,8 @@
 import arrow.core.left
 import arrow.core.right
 import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
+import io.ktor.client.engine.java.Java
+import io.ktor.client.plugins.HttpTimeout
 import io.ktor.client.request.HttpRequestBuilder
 import io.ktor.client.request.get
 import io.ktor.client.request.post
@@ -33,30 +34,24 @@
 import kotlinx.serialization.json.Json
 import org.persimmonrelay.clock.Clock
 import java.io.IOException
+import java.net.http.HttpClient.Version
 
 /**
  * Speaks to engines over HTTP/1.1, one connection to a stream.
  *
- * Works over Ktor's CIO engine, which closes the connection when a stream is cancelled. It doesn't tell an answer
- * that was cut short; the end mark does. A stream that goes silent is abandoned together with its connection; the
- * engine isn't judged.
+ * Works over the JDK's client, which keeps connections open between streams and closes one whose stream is cancelled.
+ * The end mark tells a whole answer from one that was cut short. A stream that goes silent is abandoned together with
+ * its connection; the engine isn't judged.
  */
-public class KtorEngineClient(
-    private val clock: Clock,
-    private val timeouts: EngineTimeouts = EngineTimeouts(),
-    connectionsPerEngine: Int = CONNECTIONS_PER_ENGINE,
-) : EngineClient,
+public class KtorEngineClient(private val clock: Clock, private val timeouts: EngineTimeouts = EngineTimeouts()) :
+    EngineClient,
     AutoCloseable {
     private val http =
-        HttpClient(CIO) {
+        HttpClient(Java) {
             expectSuccess = false
-            engine {
-                requestTimeout = 0
-                maxConnectionsCount = Int.MAX_VALUE
-                endpoint.maxConnectionsPerRoute = connectionsPerEngine
-                endpoint.connectTimeout = timeouts.connect.inWholeMilliseconds
-                endpoint.connectAttempts = 1
-            }
+            followRedirects = false
+            engine { protocolVersion = Version.HTTP_1_1 }
+            install(HttpTimeout) { connectTimeoutMillis = timeouts.connect.inWholeMilliseconds }
         }
 
     override fun generate(address: EngineAddress, request: GenerateRequest): Flow<Either<EngineFailure, Piece>> =
@@ -166,7 +161,6 @@
     private fun url(address: EngineAddress, path: String) = "http://${address.value}$path"
 
     private companion object {
-        const val CONNECTIONS_PER_ENGINE = 20_000
         val JSON = Json { ignoreUnknownKeys = true }
     }
 }
