Rank a duty's candidates among the nodes that compete for it

Cause: roles are decided in a node's own region, but candidates were ranked among all nodes, so the few that watch a lease closely could be nodes that never take it: takeover would wait for the slow checks. A leaving node also did not wait until the outcomes of its calls were recorded, and its list of nodes was new at each look, so that the ranking was worked out anew each time. Change: a duty has its own candidates; the list of present nodes stays one object; leaving waits for outcomes. Conclusion: the time to take over a fleet's duty with several nodes a region was not measured.

--- a/src/main/kotlin/org/persimmonrelay/lease/LeaseManager.kt
+++ b/src/main/kotlin/org/persimmonrelay/lease/LeaseManager.kt
@@ -34,9 +34,14 @@
     @Volatile
     private var leaving = false
 
-    /** Begins to compete for [duty] until [scope] ends or [leave] was called. No effect when it already does. */
-    public fun compete(scope: CoroutineScope, duty: Duty) {
-        val lease = newLease(duty)
+    /**
+     * Begins to compete for [duty] until [scope] ends or [leave] was called. No effect when it already does.
+     *
+     * [candidates] are the live nodes that compete for this duty; the same collection while nothing changes.
+     */
+    public fun compete(scope: CoroutineScope, duty: Duty, candidates: () -> Collection<NodeId> = liveNodes) {
+        if (duties.containsKey(duty)) return
+        val lease = newLease(duty, candidates)
         if (leaving || duties.putIfAbsent(duty, lease) != null) return
         scope.launch { lease.run() }
         scope.launch { lease.resolvePredecessors() }
@@ -70,14 +75,14 @@
         while (duties.values.any { !it.release() } && rounds-- > 0) delay(terms.retryEvery)
     }
 
-    private fun newLease(duty: Duty) = DutyLease(
+    private fun newLease(duty: Duty, candidates: () -> Collection<NodeId>) = DutyLease(
         duty = duty,
         self = self,
         rows = LeaseRepository(table, newOperation),
         clock = clock,
         pace = random.nextDouble(),
         evidence = evidence,
-        liveNodes = liveNodes,
+        liveNodes = candidates,
         terms = terms,
         events = events,
     )
--- a/src/main/kotlin/org/persimmonrelay/node/Node.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/Node.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.flow.combine
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.persimmonrelay.admin.AdminServer
 import org.persimmonrelay.admin.CatalogRoutes
 import org.persimmonrelay.admin.OperatorGate
@@ -43,6 +44,7 @@
 import java.security.SecureRandom
 import kotlin.random.Random
 import kotlin.random.asKotlinRandom
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** One node: wires the parts, starts them in order and stops them gracefully. */
@@ -93,7 +95,7 @@
             events = core.events,
         )
     private val roles =
-        RoleDuty(core.leases, fleet, RoleSources(settings.region, core.catalog.state, demand::total, report), clock)
+        RoleDuty(core.leases, fleet, roleSources(), clock)
     private val upkeep = UpkeepDuties(core.leases, windowClosers(), claimSweep())
     private val entry = EntryServer(entrySettings(), entryParts())
     private val shares = ShareExchange(core.network, core.membership, entry.exchange, core.incarnation)
@@ -140,6 +142,7 @@
         core.events.record(NodeEvent.NODE_LEAVING, "open" with entry.openRequests)
         core.membership.leave()
         entry.stop(settings.bounds.drainSeconds.seconds)
+        awaitOutcomes()
         usage.flush()
         core.leases.leave()
         admin.stop()
@@ -156,6 +159,13 @@
         it.address.node == node && it.address.incarnation == incarnation && it.state == MemberState.ALIVE
     }
 
+    /** Waits until the outcomes of calls that may not be repeated are recorded, as long as the store takes them. */
+    private suspend fun awaitOutcomes() {
+        withTimeoutOrNull(OUTCOMES_BOUND) {
+            while (once.openCalls > 0) delay(OUTCOMES_POLL)
+        }
+    }
+
     private suspend fun followDrains() =
         core.hostWatch.leaving.combine(drains.draining, Set<ServerId>::plus).collect { outOfWork.value = it }
 
@@ -171,6 +181,11 @@
         return view.deployments().flatMap(view::serversOf).distinctBy { it.domain }.size
     }
 
+    private fun roleSources(): RoleSources {
+        val nodes = PresentNodes(core.membership) { it.region.value == settings.region }
+        return RoleSources(settings.region, nodes::now, core.catalog.state, demand::total, report)
+    }
+
     private fun windowClosers(): List<WindowCloser> {
         val settings = usageSettings
         return (0 until settings.shards).map { shard ->
@@ -218,5 +233,7 @@
 
     private companion object {
         val DEMAND_PERIOD = 1.seconds
+        val OUTCOMES_BOUND = 10.seconds
+        val OUTCOMES_POLL = 50.milliseconds
     }
 }
--- a/src/main/kotlin/org/persimmonrelay/node/NodeCore.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/NodeCore.kt
@@ -101,7 +101,10 @@
         catalog.start()
     }
 
-    fun liveNodes(): List<NodeId> = membership.view.value.members.filter { it.state.isPresent }.map { it.address.node }
+    private val everywhere = PresentNodes(membership) { true }
+
+    /** Nodes that take part, the same list while nothing changes. */
+    fun liveNodes(): List<NodeId> = everywhere.now()
 
     private fun catalogDependencies() =
         CatalogDependencies(platform.reliableTable, platform.objects, network, membership, clock, random, events)
--- a/src/main/kotlin/org/persimmonrelay/node/RoleDuty.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/RoleDuty.kt
@@ -20,6 +20,7 @@
 import org.persimmonrelay.fleet.plan.RoleSettings
 import org.persimmonrelay.identity.DeploymentId
 import org.persimmonrelay.identity.FailureDomain
+import org.persimmonrelay.identity.NodeId
 import org.persimmonrelay.identity.ServerId
 import org.persimmonrelay.lease.Duty
 import org.persimmonrelay.lease.LeaseManager
@@ -29,6 +30,7 @@
 /** What a role duty reads of the rest of the system. [region] is the node's own. */
 internal class RoleSources(
     val region: String,
+    val nodesOfRegion: () -> Collection<NodeId>,
     val catalog: CatalogSource,
     val demand: () -> DemandTotals,
     val report: (ServerId) -> LoadReport?,
@@ -86,7 +88,7 @@
         totals: DemandTotals,
     ) {
         val duty = Duty.fleet(domain)
-        leases.compete(scope, duty)
+        leases.compete(scope, duty, sources.nodesOfRegion)
         val id = DeploymentId(deployment.name)
         val pool = pools.getOrPut(PoolPart(id, domain)) { PoolRoles() }
         pool.controller.observe(pool.demand.since(totals.of(id)), clock.now())
