--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/backend/ServerChooser.kt
@@ -0,0 +1,206 @@
+package org.persimmonrelay.backend
+
+import org.persimmonrelay.identity.FailureDomain
+import org.persimmonrelay.identity.ServerId
+import org.persimmonrelay.route.EngineShape
+import org.persimmonrelay.route.ServiceId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.ZERO
+import kotlin.time.Duration.Companion.microseconds
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Decides which server gets a request: the one where its first token, or its answer, is expected first.
+ *
+ * Expected times count what has to be read before, what the engine keeps of the prompt already, how far the
+ * server is, and how it has done lately. Confined to the traffic thread.
+ */
+public class ServerChooser(private val place: NodePlace) {
+    private val loads = HashMap<ServerInstance, ServerLoad>()
+    private val models = HashMap<Pair<ServiceId, EngineStage?>, FirstAnswerModel>()
+
+    /** Chooses among [servers], which are those of the request's service that may get new requests. */
+    public fun choose(query: PlacementQuery, servers: List<BackendServer>, engine: EngineShape?): Placement {
+        val usable = sound(servers, query, engine)
+        val makers = usable.filter { it.stage != EngineStage.PREFILL }
+        if (makers.isEmpty()) return Placement.Refused(RefusalReason.NO_SERVER, NO_SERVER_WAIT)
+        val readers = usable.filter { it.stage == EngineStage.PREFILL }
+        // Where there are readers, shared prompts are kept by them and not by the servers that make tokens.
+        val whole = best(makers, query, engine, Work.WHOLE, hasHome = readers.isEmpty())
+        val maySplit = query.maySplit && readers.isNotEmpty() && isWorthSplitting(query.request)
+        val split = if (maySplit) split(readers, makers, query, engine) else null
+        val placement = if (split != null && split.cost < whole.cost) split.placement else whole.placement()
+        val expected = if (placement is Placement.Split) placement.expected else whole.expected
+        if (expected <= query.latestStart) return placement
+        return Placement.Refused(RefusalReason.TOO_LATE, (expected - query.latestStart).coerceIn(RETRY_RANGE))
+    }
+
+    /** Chooses where to make the tokens of a prompt that was read in [readIn]. */
+    public fun chooseMaker(
+        query: PlacementQuery,
+        servers: List<BackendServer>,
+        engine: EngineShape?,
+        readIn: FailureDomain,
+    ): Placement {
+        val makers = sound(servers, query, engine).filter { it.stage != EngineStage.PREFILL }
+        if (makers.isEmpty()) return Placement.Refused(RefusalReason.NO_SERVER, NO_SERVER_WAIT)
+        return maker(makers, query, engine, readIn).placement()
+    }
+
+    /** The request was sent to the chosen server. */
+    public fun sent(chosen: Placement.Chosen, request: WorkRequest, engine: EngineShape?): ServerTicket {
+        val load = load(chosen.server, engine)
+        load.started(chosen.tokensToRead)
+        if (request.isPrompted) load.memory.read(request.prompt)
+        val learns = request.isPrompted && chosen.tokensToRead > 0
+        return ServerTicket(load, model(request.service, chosen.server.stage), chosen, load.tokensAhead, learns)
+    }
+
+    /** Forgets what is known of servers that are not in [view]. */
+    public fun retain(view: BackendView) {
+        loads.keys.retainAll { it in view }
+    }
+
+    /** Requests of this node at [instance]. */
+    public fun running(instance: ServerInstance): Int = loads[instance]?.running ?: 0
+
+    /** What a server would do for the request. */
+    private enum class Work { WHOLE, READ, MAKE }
+
+    private class Option(
+        val server: BackendServer,
+        val expected: Duration,
+        val cost: Duration,
+        val tokensToRead: Int,
+    ) {
+        fun placement() = Placement.Chosen(server, expected, tokensToRead)
+    }
+
+    private class SplitOption(val placement: Placement.Split, val cost: Duration)
+
+    private fun isWorthSplitting(request: WorkRequest) = request.promptTokens >= LEAST_SPLIT_TOKENS
+
+    private fun sound(servers: List<BackendServer>, query: PlacementQuery, engine: EngineShape?): List<BackendServer> {
+        val usable = servers.filter { it.instance !in query.excluded }
+        return usable.filterNot { load(it, engine).isAvoided(query.now) }.ifEmpty { usable }
+    }
+
+    private fun best(
+        servers: List<BackendServer>,
+        query: PlacementQuery,
+        engine: EngineShape?,
+        work: Work,
+        hasHome: Boolean,
+    ): Option {
+        val home = if (hasHome) home(query.request, servers) else null
+        return servers.map { option(it, it.instance.id == home, query, engine, work) }.minBy { it.cost }
+    }
+
+    private fun split(
+        readers: List<BackendServer>,
+        makers: List<BackendServer>,
+        query: PlacementQuery,
+        engine: EngineShape?,
+    ): SplitOption {
+        val reader = best(readers, query, engine, Work.READ, hasHome = true)
+        val maker = maker(makers, query, engine, reader.server.domain)
+        val expected = reader.expected + maker.expected
+        return SplitOption(Placement.Split(reader.placement(), expected), reader.cost + maker.cost)
+    }
+
+    private fun maker(
+        makers: List<BackendServer>,
+        query: PlacementQuery,
+        engine: EngineShape?,
+        readIn: FailureDomain,
+    ): Option {
+        val nearest = NodePlace(readIn, place.regions[readIn] ?: place.region, place.regions)
+        return makers.map { server ->
+            val plain = option(server, isHome = false, query, engine, Work.MAKE)
+            val move = nearest.moveDistance(server.domain)
+            Option(server, plain.expected + move, plain.cost + move, 0)
+        }.minBy { it.cost }
+    }
+
+    private fun option(
+        server: BackendServer,
+        isHome: Boolean,
+        query: PlacementQuery,
+        engine: EngineShape?,
+        work: Work,
+    ): Option {
+        val load = load(server, engine)
+        val request = query.request
+        val reads = request.isPrompted && work != Work.MAKE
+        val toRead = if (reads) tokensToRead(request, load, isHome) else 0
+        val time = when {
+            reads -> model(request.service, server.stage).expected((load.tokensAhead + toRead).toDouble())
+            request.isPrompted -> HANDOVER
+            else -> queueing(server, load)
+        }
+        val expected = time + load.delay(query.now)
+        val reread = (request.sharedTokens - (request.promptTokens - toRead)).coerceAtLeast(0)
+        val burden = when (work) {
+            Work.WHOLE -> REREAD_PER_TOKEN * reread + DISTURBANCE_PER_TOKEN * toRead + CROWD * load.running
+            Work.READ -> REREAD_PER_TOKEN * reread
+            Work.MAKE -> CROWD * load.running
+        }
+        val spread = SPREAD * Math.floorMod(rank(request.seed.toString(), server.instance.id), SPREAD_STEPS)
+        return Option(server, expected, expected + burden + spread + load.risk + place.distance(server.domain), toRead)
+    }
+
+    private fun queueing(server: BackendServer, load: ServerLoad): Duration {
+        val over = load.running + 1 - server.slots
+        return if (over <= 0) ZERO else PLAIN_SERVICE_TIME * over / server.slots.coerceAtLeast(1)
+    }
+
+    private fun tokensToRead(request: WorkRequest, load: ServerLoad, isHome: Boolean): Int {
+        val kept = load.memory.kept(request.prompt)
+        val likely = if (isHome) (request.sharedTokens * HOME_KEEPS).toInt() else 0
+        return (request.promptTokens - maxOf(kept, likely)).coerceAtLeast(1)
+    }
+
+    /** All nodes agree on one server for each shared prompt, without a word between them. */
+    private fun home(request: WorkRequest, servers: List<BackendServer>): ServerId? {
+        val key = request.shared.lastOrNull()?.id ?: return null
+        return servers.maxByOrNull { rank(key, it.instance.id) }?.instance?.id
+    }
+
+    private fun rank(key: String, server: ServerId): Int {
+        val mixed = (key.hashCode() * HASH_FACTOR + server.value.hashCode()) * HASH_MIX
+        return mixed xor (mixed ushr HASH_SHIFT)
+    }
+
+    private fun load(server: BackendServer, engine: EngineShape?): ServerLoad =
+        loads.getOrPut(server.instance) { ServerLoad(engine?.kvTokens ?: 0) }
+
+    private fun model(service: ServiceId, stage: EngineStage?) =
+        models.getOrPut(service to stage) { FirstAnswerModel() }
+
+    private companion object {
+        val NO_SERVER_WAIT = 700.milliseconds
+        val RETRY_RANGE = 300.milliseconds..2_000.milliseconds
+        val PLAIN_SERVICE_TIME = 80.milliseconds
+
+        /** From the end of reading to the first token elsewhere. */
+        val HANDOVER = 25.milliseconds
+
+        /** Reading on a server that makes tokens holds up the streams that run there. */
+        val DISTURBANCE_PER_TOKEN = 20.microseconds
+        const val LEAST_SPLIT_TOKENS = 256
+        val SPREAD = 1.milliseconds
+        const val SPREAD_STEPS = 4
+
+        /** What each running request adds to the steps of all. */
+        val CROWD = 3.milliseconds
+
+        /** Likelihood that a shared prompt is kept by the server that all nodes send it to. */
+        const val HOME_KEEPS = 0.9
+
+        /** Reading what another server keeps already is work that others wait for. */
+        val REREAD_PER_TOKEN = 25.microseconds
+        const val HASH_FACTOR = -0x61c88647
+        const val HASH_MIX = 0x2c1b3c6d
+        const val HASH_SHIFT = 15
+    }
+}
--- a/src/main/kotlin/org/persimmonrelay/cli/CommandEntry.kt
+++ b/src/main/kotlin/org/persimmonrelay/cli/CommandEntry.kt
@@ -16,6 +16,7 @@
         public val ALL: List<CommandEntry> =
             listOf(
                 of("serve", "run a node", ::ServeCommand),
+                of("relay", "run a forwarding node on the users' platform", ::RelayCommand),
                 of("check", "report every mistake in a settings file", ::CheckCommand),
                 CommandEntry("ctl", "read and change the configuration of running nodes") { args, out, err ->
                     CtlCommand().run(args, out, err)
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/cli/RelayCommand.kt
@@ -0,0 +1,41 @@
+package org.persimmonrelay.cli
+
+import arrow.core.getOrElse
+import org.kohsuke.args4j.Option
+import org.persimmonrelay.adapter.PlatformNode
+import sun.misc.Signal
+import java.io.File
+import java.io.PrintStream
+
+/**
+ * `relay [--settings FILE]`: runs a forwarding node on the users' platform until SIGTERM or SIGINT, then leaves
+ * gracefully. SIGHUP has it read its settings again.
+ */
+internal class RelayCommand : Command {
+    @Option(
+        name = "--settings",
+        metaVar = "FILE",
+        usage = "settings that the platform wrote; by default the file named by $SETTINGS_VARIABLE",
+    )
+    private var file: File? = null
+
+    override fun run(out: PrintStream, err: PrintStream): Int {
+        val path = file ?: System.getenv(SETTINGS_VARIABLE)?.let(::File)
+        if (path == null) {
+            err.println("No settings are named; give --settings FILE or set $SETTINGS_VARIABLE.")
+            return ExitCode.USAGE
+        }
+        val node = PlatformNode.of(path).getOrElse { message ->
+            err.println(message)
+            return ExitCode.USAGE
+        }
+        Signal.handle(Signal("HUP")) { node.reload() }
+        node.start()
+        UntilSignal.await(node::stop)
+        return ExitCode.OK
+    }
+
+    private companion object {
+        const val SETTINGS_VARIABLE = "PERSIMMONRELAY_NODE_FILE"
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/forward/ForwardServer.kt
@@ -0,0 +1,153 @@
+package org.persimmonrelay.forward
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import kotlinx.coroutines.delay
+import org.persimmonrelay.backend.BackendDirectory
+import org.persimmonrelay.backend.NodePlace
+import org.persimmonrelay.backend.RetryAllowance
+import org.persimmonrelay.backend.RetryRule
+import org.persimmonrelay.backend.ServerChooser
+import org.persimmonrelay.clock.Clock
+import org.persimmonrelay.http.CallerAnswer
+import org.persimmonrelay.http.CallerBounds
+import org.persimmonrelay.http.CallerExchange
+import org.persimmonrelay.http.CallerHandler
+import org.persimmonrelay.http.CallerServer
+import org.persimmonrelay.http.EventLoopThread
+import org.persimmonrelay.http.HttpConnector
+import org.persimmonrelay.http.ServerAddress
+import org.persimmonrelay.route.CallerLimits
+import org.persimmonrelay.route.RouteTables
+import org.persimmonrelay.settings.ListenSettings
+import org.persimmonrelay.settings.RelaySettings
+import org.persimmonrelay.timeline.EventSink
+import org.persimmonrelay.usage.UsageMeter
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Bounds that change while the node runs. */
+public interface ForwardBounds {
+    /** What all nodes together may send again. */
+    public fun retryRule(): RetryRule
+
+    /** How long keys are accepted without word from the store; null for as long as the node runs. */
+    public fun keyBound(): Duration?
+
+    /** Nodes that share the budget and the servers' connections. */
+    public fun nodes(): Int
+}
+
+/** What a [ForwardServer] is made of. */
+public class ForwardServerParts(
+    public val settings: RelaySettings,
+    public val place: NodePlace,
+    public val tables: RouteTables,
+    public val directory: BackendDirectory,
+    public val dialect: CallDialect,
+    public val usage: UsageMeter,
+    public val bounds: ForwardBounds,
+    public val clock: Clock,
+    public val events: EventSink,
+    public val registry: PrometheusMeterRegistry,
+)
+
+/** The face for callers with the addresses for readiness and metrics. Confined to [thread], the traffic thread. */
+public class ForwardServer(private val parts: ForwardServerParts, private val thread: EventLoopThread) {
+    private val connections = ServerConnections(HttpConnector(thread), parts.bounds::nodes)
+    private val chooser = ServerChooser(parts.place)
+    private val releases = HandleReleases(thread.scope, connections, parts.dialect, parts.clock, parts.events)
+    private val log = RequestLog(parts.events, ForwardMetrics(parts.registry))
+    private val answers = OwnAnswers(parts.dialect, log::unreadable)
+    private val callers = server(parts.settings.callers, forwarder())
+    private val readiness = server(parts.settings.readiness, CallerHandler { it.answer(readinessAnswer()) })
+    private val metrics = server(parts.settings.metrics, ::metricsAnswer)
+
+    @Volatile
+    private var leaving = false
+
+    @Volatile
+    private var refusing = false
+
+    /** True when the node knows the configuration and the servers, and does not leave. */
+    public val isReady: Boolean
+        get() = !leaving && parts.tables.current != null && parts.directory.isLoaded
+
+    /** Begins to listen; the port for callers. */
+    public suspend fun start(): Int {
+        readiness.start()
+        metrics.start()
+        return callers.start()
+    }
+
+    /** Forgets what is known of servers that are gone. */
+    public fun forgetGone() {
+        chooser.retain(parts.directory.view)
+        connections.retain(parts.directory.view)
+    }
+
+    /**
+     * Stops within [grace]. The node says at once that it is not ready, serves on while callers are sent elsewhere,
+     * then refuses new requests as not run, and returns when what runs has ended or the time is nearly up.
+     */
+    public suspend fun leave(grace: Duration) {
+        val start = parts.clock.now()
+        leaving = true
+        callers.announceLeaving()
+        while (parts.clock.now() - start < grace * SERVING_SHARE) delay(POLL)
+        callers.stopListening()
+        refusing = true
+        while (parts.clock.now() - start < grace * ENDING_SHARE) {
+            callers.closeIdle()
+            if (callers.openRequests() == 0) return
+            delay(POLL)
+        }
+    }
+
+    private fun forwarder(): CallerHandler {
+        val gate = CallGate(parts.tables, parts.dialect, parts.bounds::keyBound)
+        val tools = AttemptTools(parts.dialect, parts.directory, connections, parts.clock, ForwardSettings())
+        val forwardParts = ForwardParts(
+            directory = parts.directory,
+            chooser = chooser,
+            allowance = RetryAllowance(parts.bounds::retryRule, parts.bounds::nodes),
+            dialect = parts.dialect,
+            answers = answers,
+            usage = parts.usage,
+            log = log,
+            clock = parts.clock,
+            freeHandle = releases::free,
+        )
+        return Forwarder(forwardParts, gate, tools) { refusing }
+    }
+
+    private fun server(listen: ListenSettings, handler: CallerHandler) =
+        CallerServer(thread, ServerAddress(listen.host, listen.port), parts.clock, ::bounds, answers, handler)
+
+    private fun bounds(): CallerBounds {
+        val limits = parts.tables.current?.limits ?: CallerLimits()
+        return CallerBounds(
+            limits.headerBytes,
+            limits.bodyBytes,
+            limits.headerTimeout.inWholeMilliseconds,
+            limits.idleTimeout.inWholeMilliseconds,
+        )
+    }
+
+    private fun readinessAnswer() = CallerAnswer(if (isReady) OK else UNAVAILABLE, DefaultHttpHeaders(), ByteArray(0))
+
+    private suspend fun metricsAnswer(exchange: CallerExchange) {
+        val headers = DefaultHttpHeaders().set("Content-Type", "text/plain; version=0.0.4")
+        exchange.answer(CallerAnswer(OK, headers, parts.registry.scrape().encodeToByteArray()))
+    }
+
+    private companion object {
+        const val OK = 200
+        const val UNAVAILABLE = 503
+
+        /** The balancer needs two questions, a second apart, to send callers elsewhere. */
+        const val SERVING_SHARE = 0.33
+        const val ENDING_SHARE = 0.82
+        val POLL: Duration = 25.milliseconds
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/http/CallerRejects.kt
@@ -0,0 +1,14 @@
+package org.persimmonrelay.http
+
+/** Why a request is refused before it is handled. */
+public enum class CallerReject(public val status: Int) {
+    MALFORMED(400),
+    SLOW(408),
+    BODY_TOO_LARGE(413),
+    HEADER_TOO_LARGE(431),
+}
+
+/** Renders refusals of requests that could not be read, and hears of them. */
+public fun interface CallerRejects {
+    public fun answer(reject: CallerReject): CallerAnswer
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/http/ServerAddress.kt
@@ -0,0 +1,18 @@
+package org.persimmonrelay.http
+
+/** Where a server listens: an IPv4 address and a port. */
+public data class ServerAddress(public val host: String, public val port: Int) {
+    override fun toString(): String = "$host:$port"
+
+    public companion object {
+        private const val MAX_PORT = 65_535
+
+        /** Reads `IP:PORT`; null when [text] has another form. */
+        public fun parse(text: String): ServerAddress? {
+            val host = text.substringBeforeLast(':', "")
+            val port = text.substringAfterLast(':').toIntOrNull() ?: return null
+            if (host.isEmpty() || port !in 1..MAX_PORT) return null
+            return ServerAddress(host, port)
+        }
+    }
+}
--- a/src/main/kotlin/org/persimmonrelay/membership/MembershipEvent.kt
+++ b/src/main/kotlin/org/persimmonrelay/membership/MembershipEvent.kt
@@ -18,4 +18,6 @@
     REGION_BACK(1811, "Another region answers again."),
     SERVER_LEAVING(1812, "A backend server leaves and gets no new work."),
     GOSSIP_TOO_LARGE(1813, "A summary is over its bound and is not spread; report it as a defect."),
+    NODES_CHANGED(1814, "Other nodes are known to run than before, by their rows in the store."),
+    NODE_ROW_IGNORED(1815, "A node's row in the store can't be read and is ignored."),
 }
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/node/RelayDuties.kt
@@ -0,0 +1,112 @@
+package org.persimmonrelay.node
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.persimmonrelay.backend.BackendDirectory
+import org.persimmonrelay.clock.Clock
+import org.persimmonrelay.identity.NodeId
+import org.persimmonrelay.lease.HolderId
+import org.persimmonrelay.lease.LeaseManager
+import org.persimmonrelay.lease.LeaseTerms
+import org.persimmonrelay.lease.PredecessorEvidence
+import org.persimmonrelay.membership.StoredMembership
+import org.persimmonrelay.platform.ReliableTable
+import org.persimmonrelay.route.RouteTables
+import org.persimmonrelay.settings.RelayBounds
+import org.persimmonrelay.timeline.EventSink
+import org.persimmonrelay.usage.UsageMeter
+import org.persimmonrelay.usage.UsageRecorder
+import org.persimmonrelay.usage.UsageSettings
+import org.persimmonrelay.usage.WindowCloser
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What one node at a time does for all, and what each does for that one. Runs on the control thread. */
+internal class RelayDuties(
+    node: NodeId,
+    bounds: RelayBounds,
+    ports: RelayPorts,
+    identity: NodeIdentity,
+    clock: Clock,
+    events: EventSink,
+    tables: RouteTables,
+    directory: BackendDirectory,
+) {
+    private val table = ReliableTable(ports.table, clock, identity.random)
+    val membership =
+        StoredMembership(table, node, identity.incarnation, clock, identity.operations::next, events)
+    private val leases =
+        LeaseManager(
+            table = table,
+            self = HolderId(node, identity.incarnation),
+            clock = clock,
+            random = identity.random,
+            evidence = PredecessorEvidence { _, _, _ -> true },
+            liveNodes = { membership.live },
+            newOperation = identity.operations::next,
+            terms = termsFor(bounds),
+            events = events,
+        )
+    private val usageSettings =
+        UsageSettings(
+            window = bounds.usageWindow,
+            flushEvery = 1_200.milliseconds,
+            grace = 2_400.milliseconds,
+            closeEvery = 1.seconds,
+            maxSegmentsPerWindow = MOST_SEGMENTS,
+        )
+    private val recorder = UsageRecorder(table, ports.wallClock, identity.incarnation, events, usageSettings)
+    private val agreement = TimeAgreement(table, ports.wallClock, identity.operations::next, events)
+    private val closer = ports.usage?.let {
+        WindowCloser(
+            table = table,
+            reports = it,
+            leases = leases,
+            clock = ports.wallClock,
+            shard = 0,
+            newOperation = identity.operations::next,
+            events = events,
+            settings = usageSettings,
+        )
+    }
+
+    private val scale = ports.scale?.let { ScaleDuty(it, leases, tables, directory, node, clock, events) }
+
+    val usageMeter: UsageMeter get() = recorder
+
+    fun start(scope: CoroutineScope) {
+        scope.launch { membership.run() }
+        scope.launch { agreement.run() }
+        recorder.start(scope)
+        closer?.start(scope)
+        scale?.start(scope)
+    }
+
+    /** Stores what was counted. Leases run out by themselves, so that no duty changes hands twice in a short time. */
+    suspend fun leave() {
+        recorder.flush()
+        membership.leave()
+    }
+
+    /**
+     * A lease outlasts the time within which receivers take two changes of hands for a quarrel. Silence beyond it
+     * is evidence enough that a holder stopped: it stops by its own clock, which counts suspensions, and its calls
+     * are given up long before.
+     */
+    private fun termsFor(bounds: RelayBounds) = LeaseTerms(
+        duration = bounds.lease + 500.milliseconds,
+        tolerance = 500.milliseconds,
+        sendMargin = 1_200.milliseconds,
+        renewEvery = 1.seconds,
+        retryEvery = 200.milliseconds,
+        checkEvery = 1.seconds,
+        messageLifetime = 1_200.milliseconds,
+        watchers = 2,
+        takeStagger = 200.milliseconds,
+    )
+
+    private companion object {
+        /** A transaction holds a hundred entries; each segment takes two. */
+        const val MOST_SEGMENTS = 46
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/node/RelayNode.kt
@@ -0,0 +1,119 @@
+package org.persimmonrelay.node
+
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import org.persimmonrelay.backend.BackendDirectory
+import org.persimmonrelay.backend.NodePlace
+import org.persimmonrelay.backend.RetryRule
+import org.persimmonrelay.clock.Clock
+import org.persimmonrelay.forward.ForwardBounds
+import org.persimmonrelay.forward.ForwardServer
+import org.persimmonrelay.forward.ForwardServerParts
+import org.persimmonrelay.http.EventLoopThread
+import org.persimmonrelay.platform.FeedTable
+import org.persimmonrelay.platform.RowFollower
+import org.persimmonrelay.platform.RowListener
+import org.persimmonrelay.platform.StoreHealth
+import org.persimmonrelay.route.RouteTables
+import org.persimmonrelay.settings.RelaySettings
+import org.persimmonrelay.timeline.EventSink
+import org.persimmonrelay.timeline.with
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * A node that forwards callers' requests to backend servers by the operator's routes. Control runs on [control],
+ * traffic on a thread of its own.
+ */
+public class RelayNode(
+    settings: RelaySettings,
+    private val ports: RelayPorts,
+    private val control: EventLoopThread,
+    private val clock: Clock,
+    private val events: EventSink,
+    private val identity: NodeIdentity,
+) {
+    @Volatile
+    private var settings = settings
+    private val traffic = EventLoopThread("traffic")
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val directory = BackendDirectory(events)
+    private val tables = RouteTables(events)
+    private val health: StoreHealth = StoreHealth(events) { directory.storeRegained(it) }
+    private val duties = RelayDuties(settings.node, settings.bounds, ports, identity, clock, events, tables, directory)
+    private val server =
+        ForwardServer(
+            ForwardServerParts(
+                settings = settings,
+                place = NodePlace(settings.domain, settings.region, settings.regions),
+                tables = tables,
+                directory = directory,
+                dialect = ports.dialect,
+                usage = duties.usageMeter,
+                bounds = forwardBounds(),
+                clock = clock,
+                events = events,
+                registry = registry,
+            ),
+            traffic,
+        )
+
+    /** Listens and begins to follow the store. The node is ready once it knows the configuration and the servers. */
+    public suspend fun start() {
+        events.record(NodeEvent.NODE_STARTING, "node" with settings.node, "incarnation" with identity.incarnation)
+        withContext(traffic.dispatcher) { server.start() }
+        follow(FeedTable.CONFIGURATION, ConfigurationListener(ports.reader, tables))
+        follow(FeedTable.BACKEND_SERVERS, ServerListener(ports.reader, directory, { health }, clock))
+        control.scope.launch { keepHouse() }
+        duties.start(control.scope)
+        control.scope.launch { awaitReady() }
+    }
+
+    /** Takes over the bounds of [changed]. */
+    public fun reload(changed: RelaySettings) {
+        settings = changed
+        events.record(NodeEvent.SETTINGS_RELOADED, "bounds" with changed.bounds)
+    }
+
+    /** Leaves within the grace period: refuses new work at first softly, ends what runs, hands over. */
+    public suspend fun stop() {
+        events.record(NodeEvent.NODE_LEAVING)
+        withContext(traffic.dispatcher) { server.leave(settings.bounds.grace) }
+        withContext(control.dispatcher) { duties.leave() }
+        events.record(NodeEvent.NODE_STOPPED)
+        traffic.close()
+    }
+
+    private fun follow(table: FeedTable, listener: RowListener) {
+        val follower = RowFollower(ports.feed, table, listener, health, clock, events)
+        control.scope.launch { follower.run() }
+    }
+
+    private suspend fun keepHouse() {
+        while (true) {
+            delay(HOUSEKEEPING)
+            directory.expireLapsed(health.isUnsteady, clock.now())
+            withContext(traffic.dispatcher) { server.forgetGone() }
+        }
+    }
+
+    private suspend fun awaitReady() {
+        while (!server.isReady) delay(READY_CHECK)
+        events.record(NodeEvent.NODE_READY, "version" with tables.current?.version)
+    }
+
+    private fun forwardBounds() = object : ForwardBounds {
+        override fun retryRule() = settings.bounds.let { RetryRule(it.retryRatio, it.retryMinimum, it.retryWindow) }
+
+        override fun keyBound() = settings.bounds.keyBound
+
+        override fun nodes() = duties.membership.live.size
+    }
+
+    private companion object {
+        val HOUSEKEEPING = 250.milliseconds
+        val READY_CHECK = 20.milliseconds
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/node/ScaleDuty.kt
@@ -0,0 +1,89 @@
+package org.persimmonrelay.node
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.persimmonrelay.backend.BackendDirectory
+import org.persimmonrelay.backend.BackendServer
+import org.persimmonrelay.clock.Clock
+import org.persimmonrelay.identity.FailureDomain
+import org.persimmonrelay.identity.NodeId
+import org.persimmonrelay.lease.Duty
+import org.persimmonrelay.lease.LeaseManager
+import org.persimmonrelay.lease.Tenure
+import org.persimmonrelay.route.RouteTables
+import org.persimmonrelay.route.Service
+import org.persimmonrelay.scale.DomainCensus
+import org.persimmonrelay.scale.ScaleEvent
+import org.persimmonrelay.scale.ScaleOrder
+import org.persimmonrelay.scale.ScaleOrders
+import org.persimmonrelay.scale.ScalePlanner
+import org.persimmonrelay.timeline.EventSink
+import org.persimmonrelay.timeline.with
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Orders servers while this node holds the duty. Runs on the control thread. */
+internal class ScaleDuty(
+    private val orders: ScaleOrders,
+    private val leases: LeaseManager,
+    private val tables: RouteTables,
+    private val directory: BackendDirectory,
+    private val node: NodeId,
+    private val clock: Clock,
+    private val events: EventSink,
+) {
+    /** One node does all the duties towards the platform, so that one lease is watched. */
+    private val duty = Duty.usage(0)
+    private val planner = ScalePlanner()
+    private var epoch = 0L
+
+    /** Competes for the duty and works whenever this node holds it, until [scope] ends. */
+    fun start(scope: CoroutineScope) {
+        leases.compete(scope, duty)
+        scope.launch {
+            while (true) {
+                leases.tenure(duty)?.takeIf { it.isSole }?.let { pass(it) }
+                delay(PERIOD)
+            }
+        }
+    }
+
+    private suspend fun pass(tenure: Tenure) {
+        if (tenure.epoch != epoch) planner.reset()
+        epoch = tenure.epoch
+        val table = tables.current ?: return
+        table.services.values.filter { it.scaling != null }.forEach { service ->
+            planner.plan(service, census(service), clock.now()).forEach { send(it, tenure) }
+        }
+    }
+
+    private suspend fun send(order: ScaleOrder, tenure: Tenure) {
+        val answer = leases.act(duty, tenure.epoch) { orders.send(order, node, tenure.epoch).getOrNull() }
+        planner.answered(order, answer, clock.now())
+        val event = if (answer == null) ScaleEvent.ORDER_UNANSWERED else ScaleEvent.ORDER_ANSWERED
+        events.record(
+            event,
+            "service" with order.service,
+            "domain" with order.domain,
+            "cheap" with order.isCheap,
+            "servers" with order.servers,
+            "answer" with answer,
+            "epoch" with tenure.epoch,
+        )
+    }
+
+    private fun census(service: Service): Map<FailureDomain, DomainCensus> {
+        val present = directory.view.of(service.id).groupBy { it.domain }
+        val domains = present.keys + service.scaling?.prices?.keys.orEmpty()
+        return domains.associateWith { census(present[it].orEmpty()) }
+    }
+
+    private fun census(servers: List<BackendServer>): DomainCensus {
+        val cheap = servers.count { it.isCheap }
+        return DomainCensus(servers.size - cheap, cheap)
+    }
+
+    private companion object {
+        val PERIOD = 300.milliseconds
+    }
+}
--- a/src/main/kotlin/org/persimmonrelay/timeline/EventArea.kt
+++ b/src/main/kotlin/org/persimmonrelay/timeline/EventArea.kt
@@ -17,6 +17,11 @@
     ROUTING(2200, "routing"),
     FAIRNESS(2300, "fairness"),
     SETTINGS(2400, "settings"),
+    ROUTE(2500, "route"),
+    BACKEND(2600, "backend"),
+    FORWARD(2700, "forward"),
+    SCALE(2800, "scale"),
+    ADAPTER(2900, "adapter"),
     ;
 
     /** The event numbers of this area. */
--- a/src/main/kotlin/org/persimmonrelay/timeline/TimelineRing.kt
+++ b/src/main/kotlin/org/persimmonrelay/timeline/TimelineRing.kt
@@ -52,5 +52,5 @@
 /** Writes one event to the JSON log, with its number and fields as structured arguments. */
 private fun logEvent(code: EventCode, fields: List<EventField>) {
     val arguments = listOf(kv("event", code.name), kv("number", code.number)) + fields.map { kv(it.name, it.value) }
-    LOGGER.info(code.summary + " {}".repeat(arguments.size), *arguments.toTypedArray())
+    LOGGER.info(code.summary, *arguments.toTypedArray())
 }
--- a/src/main/kotlin/org/persimmonrelay/usage/UsageAccumulator.kt
+++ b/src/main/kotlin/org/persimmonrelay/usage/UsageAccumulator.kt
@@ -3,17 +3,25 @@
 import org.persimmonrelay.identity.WorkspaceId
 import java.util.concurrent.ConcurrentHashMap
 
-/** Counts since the last [drain], per workspace. Thread-safe. */
-internal class UsageAccumulator : UsageMeter {
-    private val counts = ConcurrentHashMap<WorkspaceId, WorkspaceUsage>()
+/** What one window holds of the counts since the last [UsageAccumulator.drain]. */
+internal data class WindowUsage(val windowStart: Long, val usage: List<WorkspaceUsage>)
 
-    override fun record(workspace: WorkspaceId, promptTokens: Long, outputTokens: Long) {
+/** Counts since the last [drain], per window and workspace. Thread-safe. */
+internal class UsageAccumulator {
+    private val counts = ConcurrentHashMap<Pair<Long, WorkspaceId>, WorkspaceUsage>()
+
+    /** Counts one request in the window that begins at [windowStart], in milliseconds since the Unix epoch. */
+    fun record(windowStart: Long, workspace: WorkspaceId, promptTokens: Long, outputTokens: Long) {
         val added = WorkspaceUsage(workspace.value, promptTokens, outputTokens, 1)
-        counts.merge(workspace, added, ::sum)
+        counts.merge(windowStart to workspace, added, ::sum)
     }
 
-    /** Takes out all counts; what is recorded meanwhile is in this or the next result. */
-    fun drain(): List<WorkspaceUsage> = counts.keys.mapNotNull { counts.remove(it) }.sortedBy { it.workspace }
+    /** Takes out all counts, oldest window first; what is recorded meanwhile is in this or the next result. */
+    fun drain(): List<WindowUsage> = counts.keys
+        .mapNotNull { key -> counts.remove(key)?.let { key.first to it } }
+        .groupBy({ it.first }, { it.second })
+        .toSortedMap()
+        .map { (start, usage) -> WindowUsage(start, usage.sortedBy { it.workspace }) }
 }
 
 /** The sum of [a] and [b], which are of one workspace. */
--- a/src/main/kotlin/org/persimmonrelay/usage/UsageRecorder.kt
+++ b/src/main/kotlin/org/persimmonrelay/usage/UsageRecorder.kt
@@ -34,12 +34,11 @@
     private val keys = UsageKeys(UsageKeys.shardOf(incarnation, settings.shards))
     private val waiting = ArrayDeque<Segment>()
     private val flushing = Mutex()
-    private var windowStart = windowOf(clock.wallMillis())
     private var sequence = 0L
     private var writerVersion = 0L
 
     override fun record(workspace: WorkspaceId, promptTokens: Long, outputTokens: Long) {
-        accumulator.record(workspace, promptTokens, outputTokens)
+        accumulator.record(windowOf(clock.wallMillis()), workspace, promptTokens, outputTokens)
     }
 
     /** Flushes every now and then until [scope] ends. */
@@ -54,7 +53,7 @@
 
     /** Stores everything counted so far; false when the store did not take all of it. A leaving node calls it last. */
     public suspend fun flush(): Boolean = flushing.withLock {
-        cutSegment()
+        cutSegments()
         while (waiting.isNotEmpty()) {
             if (!store(waiting.first())) return@withLock false
             waiting.removeFirst()
@@ -62,14 +61,13 @@
         true
     }
 
-    /** What was counted since the last cut belongs to the window in which it began, up to one flush period off. */
-    private fun cutSegment() {
-        val usage = accumulator.drain()
-        val start = windowStart
-        windowStart = windowOf(clock.wallMillis())
-        if (usage.isEmpty() || mergeIntoLast(start, usage)) return
-        sequence++
-        waiting += Segment(incarnation, sequence, start, usage)
+    /** What was counted since the last cut becomes a segment for each window that it began in. */
+    private fun cutSegments() {
+        accumulator.drain().forEach { (start, usage) ->
+            if (mergeIntoLast(start, usage)) return@forEach
+            sequence++
+            waiting += Segment(incarnation, sequence, start, usage)
+        }
     }
 
     /** Keeps memory flat during an outage. The first waiting segment may have been sent and must not change. */
--- a/src/main/kotlin/org/persimmonrelay/usage/UsageRows.kt
+++ b/src/main/kotlin/org/persimmonrelay/usage/UsageRows.kt
@@ -11,6 +11,7 @@
 import kotlinx.serialization.json.Json
 import org.persimmonrelay.identity.Incarnation
 import org.persimmonrelay.platform.UsageReport
+import org.persimmonrelay.platform.UsageReports
 
 /** What a workspace used. */
 @Serializable
@@ -52,6 +53,9 @@
     fun encode(): String = Json.encodeToString(serializer(), this)
 }
 
+/** The reports in the body that [UsageReports] is given for a window. */
+public fun reportsOf(body: String): List<UsageReport> = Json.decodeFromString(WindowBody.serializer(), body).reports
+
 /** Keys of the rows of one shard. */
 internal data class UsageKeys(val shard: Int) {
     val segments: String = "usage/segment/$shard/"
--- /dev/null
+++ b/src/test/kotlin/org/persimmonrelay/adapter/PlatformTableTest.kt
@@ -0,0 +1,134 @@
+package org.persimmonrelay.adapter
+
+import arrow.core.Either
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import org.persimmonrelay.clock.SharedWallClock
+import org.persimmonrelay.clock.SystemClock
+import org.persimmonrelay.http.EventLoopThread
+import org.persimmonrelay.http.HttpConnector
+import org.persimmonrelay.identity.OperationId
+import org.persimmonrelay.platform.CommitOutcome
+import org.persimmonrelay.platform.CommitResult
+import org.persimmonrelay.platform.Condition
+import org.persimmonrelay.platform.FeedFailure
+import org.persimmonrelay.platform.FeedTable
+import org.persimmonrelay.platform.ReliableTable
+import org.persimmonrelay.platform.Transaction
+import org.persimmonrelay.platform.Write
+import kotlin.random.Random
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.time.Duration.Companion.milliseconds
+
+class PlatformTableTest {
+    private val thread = EventLoopThread("test-control")
+    private val store = StandInStore()
+    private val clock = SystemClock
+
+    @AfterTest
+    fun close() {
+        store.close()
+        thread.close()
+    }
+
+    @Test
+    fun `versions count the writes of each row`() = onThread {
+        val table = table()
+
+        assertIs<CommitResult.Committed>(commit(table, "o1", Condition.Absent("k"), Write.Put("k", "a")))
+        assertIs<CommitResult.Committed>(commit(table, "o2", Condition.VersionIs("k", 1), Write.Put("k", "b")))
+
+        val row = right(table.read(listOf("k"))).single()
+        assertEquals(2, row.version)
+        assertEquals("b", row.value)
+        assertEquals(OperationId("o2"), row.operation)
+    }
+
+    @Test
+    fun `a node that knows an old version loses against one that wrote since`() = onThread {
+        val first = table()
+        val second = table()
+        commit(first, "o1", Condition.Absent("k"), Write.Put("k", "a"))
+        commit(second, "o2", Condition.VersionIs("k", 1), Write.Put("k", "b"))
+
+        val conflict = assertIs<CommitResult.Conflict>(
+            commit(first, "o3", Condition.VersionIs("k", 1), Write.Put("k", "c")),
+        )
+
+        assertEquals(2, conflict.current.single().version)
+        assertEquals("b", right(first.read(listOf("k"))).single().value)
+    }
+
+    @Test
+    fun `a condition that memory alone would fail is asked of the store`() = onThread {
+        val first = table()
+        val second = table()
+        commit(first, "o1", Condition.Absent("k"), Write.Put("k", "a"))
+        commit(second, "o2", Condition.VersionIs("k", 1), Write.Delete("k"))
+
+        assertIs<CommitResult.Committed>(commit(first, "o3", Condition.Absent("k"), Write.Put("k", "c")))
+    }
+
+    @Test
+    fun `a lost answer to a write that took effect is settled as committed`() = onThread {
+        val reliable = ReliableTable(table(), clock, Random(1))
+        store.fault = StoreFault.ANSWER_LOST
+        val transaction =
+            Transaction(OperationId("o1"), listOf(Condition.Absent("k")), listOf(Write.Put("k", "a")))
+
+        assertIs<CommitOutcome.Committed>(reliable.commit(transaction))
+        assertEquals(1, right(reliable.read(listOf("k"))).single().version)
+    }
+
+    @Test
+    fun `rows are scanned by prefix over pages`() = onThread {
+        val table = table()
+        repeat(7) { commit(table, "o$it", Condition.Absent("a/$it"), Write.Put("a/$it", "$it")) }
+        commit(table, "other", Condition.Absent("b/1"), Write.Put("b/1", "x"))
+
+        assertEquals((0..6).map { "a/$it" }, right(table.scan("a/")).map { it.key })
+        assertEquals(listOf("a/5", "a/6"), right(table.scan("a/", after = "a/4")).map { it.key })
+    }
+
+    @Test
+    fun `a feed gives changes, removals and lost history`() = onThread {
+        val feed = PlatformRowFeed(platformStore(), clock)
+        store.write("servers", "i-1", "one")
+        val start = right(feed.snapshot(FeedTable.BACKEND_SERVERS))
+        store.write("servers", "i-2", "two")
+        store.write("servers", "i-1", null)
+
+        val changes = right(feed.changes(FeedTable.BACKEND_SERVERS, start.version, 100.milliseconds))
+        assertEquals(listOf("i-2" to true, "i-1" to false), changes.rows.map { it.key to (it.value != null) })
+
+        store.forgetHistory()
+        val lost = feed.changes(FeedTable.BACKEND_SERVERS, start.version, 100.milliseconds)
+        assertEquals(FeedFailure.HistoryLost, lost.fold({ it }, { null }))
+    }
+
+    @Test
+    fun `an unavailable store is told apart from a conflict`() = onThread {
+        store.fault = StoreFault.UNAVAILABLE
+
+        val outcome = table().commit(
+            Transaction(OperationId("o1"), listOf(Condition.Absent("k")), listOf(Write.Put("k", "a"))),
+        )
+
+        assertEquals(true, outcome.isLeft())
+    }
+
+    private fun platformStore() =
+        PlatformStore(PlatformHttp(HttpConnector(thread), clock), { store.address }, clock, SharedWallClock(clock))
+
+    private fun table() = PlatformTable(platformStore())
+
+    private suspend fun commit(table: PlatformTable, operation: String, condition: Condition, write: Write) =
+        right(table.commit(Transaction(OperationId(operation), listOf(condition), listOf(write))))
+
+    private fun <T> right(either: Either<Any, T>): T = either.fold({ error("failed: $it") }, { it })
+
+    private fun onThread(block: suspend () -> Unit) = runBlocking { withContext(thread.dispatcher) { block() } }
+}
--- /dev/null
+++ b/src/test/kotlin/org/persimmonrelay/adapter/StandInStore.kt
@@ -0,0 +1,140 @@
+package org.persimmonrelay.adapter
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonArray
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import kotlinx.serialization.json.put
+import org.persimmonrelay.forward.ScriptedServer
+import org.persimmonrelay.forward.SeenRequest
+import org.persimmonrelay.forward.say
+import org.persimmonrelay.http.ServerAddress
+import java.net.Socket
+import java.net.URLDecoder
+
+/** What the stand-in does with the next transaction. */
+enum class StoreFault { NONE, ANSWER_LOST, UNAVAILABLE }
+
+/** A small stand-in for the platform's store: rows, transactions, changes, forgotten history, lost answers. */
+class StandInStore : AutoCloseable {
+    private class Stored(val value: String?, val version: Long)
+
+    private val rows = sortedMapOf<String, Stored>()
+    private var version = 10L
+    private var oldestChange = 0L
+    private val server = ScriptedServer(::serve)
+    val address = ServerAddress("127.0.0.1", server.port)
+
+    @Volatile
+    var fault = StoreFault.NONE
+
+    val calls: List<SeenRequest> get() = server.seen
+
+    /** Writes a row as the operator or a server would. */
+    @Synchronized
+    fun write(table: String, key: String, value: String?) {
+        version++
+        val encoded = value?.let { java.util.Base64.getEncoder().encodeToString(it.encodeToByteArray()) }
+        rows["$table/$key"] = Stored(encoded, version)
+    }
+
+    @Synchronized
+    fun forgetHistory() {
+        oldestChange = version
+    }
+
+    @Synchronized
+    private fun serve(request: SeenRequest, socket: Socket) {
+        val target = request.line.split(' ')[1]
+        val query = target.substringAfter('?', "").split('&').filter { '=' in it }
+            .associate { it.substringBefore('=') to URLDecoder.decode(it.substringAfter('='), Charsets.UTF_8) }
+        when (target.substringBefore('?')) {
+            "/api/rows-get" -> answer(socket, 200, get(query))
+            "/api/rows-feed" -> feed(socket, query)
+            "/api/rows-tx" -> transaction(request, socket)
+            else -> answer(socket, 404, buildJsonObject { })
+        }
+    }
+
+    private fun get(query: Map<String, String>): JsonObject {
+        val prefix = query.getValue("table") + "/"
+        val from = prefix + query["from"].orEmpty()
+        val to = query["to"]?.let { prefix + it }
+        val found = rows.filter { (key, row) ->
+            key.startsWith(prefix) && key >= from && (to == null || key < to) && row.value != null
+        }
+        val limit = query["limit"]?.toInt() ?: 500
+        return list(found.keys.take(limit), more = found.size > limit)
+    }
+
+    private fun feed(socket: Socket, query: Map<String, String>) {
+        val after = query.getValue("after").toLong()
+        if (after < oldestChange) return answer(socket, 410, buildJsonObject { })
+        val changed = rows.filter { (key, row) -> key.startsWith(query.getValue("table") + "/") && row.version > after }
+        answer(socket, 200, list(changed.keys.sortedBy { rows.getValue(it).version }, more = false))
+    }
+
+    private fun transaction(request: SeenRequest, socket: Socket) {
+        if (fault == StoreFault.UNAVAILABLE) return answer(socket, 503, buildJsonObject { })
+        val body = Json.parseToJsonElement(request.body.decodeToString()).jsonObject
+        val expected = body.getValue("expected").jsonArray.map { it.jsonObject }
+        val wrong = expected.filter {
+            (live(name(it))?.version ?: 0) != it.getValue("schema_version").jsonPrimitive.long
+        }
+        if (wrong.isNotEmpty()) {
+            return answer(socket, 412, list(expected.map(::name).filter { live(it) != null }, more = false))
+        }
+        version++
+        body.getValue("set_keys").jsonArray.map { it.jsonObject }.forEach {
+            rows[name(it)] = Stored(it.getValue("value").jsonPrimitive.content, version)
+        }
+        body.getValue("delete").jsonArray.map { it.jsonObject }.forEach { rows[name(it)] = Stored(null, version) }
+        if (fault == StoreFault.ANSWER_LOST) {
+            fault = StoreFault.NONE
+            return socket.close()
+        }
+        answer(socket, 200, list(emptyList(), more = false))
+    }
+
+    private fun live(name: String) = rows[name]?.takeIf { it.value != null }
+
+    private fun name(row: JsonObject) =
+        row.getValue("table").jsonPrimitive.content + "/" + row.getValue("key").jsonPrimitive.content
+
+    private fun list(names: List<String>, more: Boolean): JsonObject = buildJsonObject {
+        put(
+            "rows",
+            buildJsonArray {
+                names.forEach { name ->
+                    val row = rows.getValue(name)
+                    add(
+                        buildJsonObject {
+                            put("table", name.substringBefore('/'))
+                            put("part", "")
+                            put("key", name.substringAfter('/'))
+                            if (row.value == null) put("removed", true) else put("value", JsonPrimitive(row.value))
+                            put("schema_version", row.version)
+                        },
+                    )
+                }
+            },
+        )
+        put("more_pages", more)
+        put("schema_version", version)
+        put("now_ms", 5_000)
+    }
+
+    private fun answer(socket: Socket, status: Int, body: JsonObject) {
+        val text = body.toString()
+        socket.say(
+            "HTTP/1.1 $status X\r\nContent-Type: application/json\r\nContent-Length: ${text.length}\r\n\r\n$text",
+        )
+    }
+
+    override fun close() = server.close()
+}
--- a/src/test/kotlin/org/persimmonrelay/architecture/ArchitectureTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/architecture/ArchitectureTest.kt
@@ -37,7 +37,7 @@
 
     @Test
     fun `files stay under their bound and no package is a grab bag`() {
-        val sources = File("src").walk().filter { it.extension == "kt" }.toList()
+        val sources = sequenceOf("src", "platform").flatMap { File(it).walk() }.filter { it.extension == "kt" }.toList()
 
         assertTrue(sources.isNotEmpty())
         assertEquals(emptyList(), sources.filter { it.readLines().size >= MAX_LINES }.map { it.path })
@@ -73,11 +73,12 @@
         val LAYERS =
             listOf(
                 listOf("cli"),
+                listOf("adapter"),
                 listOf("node"),
-                listOf("entry", "admin"),
-                listOf("fleet", "routing", "fairness", "once", "usage", "catalog"),
+                listOf("entry", "admin", "forward"),
+                listOf("fleet", "routing", "fairness", "once", "usage", "catalog", "scale", "backend", "route"),
                 listOf("membership", "lease"),
-                listOf("peer", "platform", "engine"),
+                listOf("peer", "platform", "engine", "http"),
                 listOf("timeline"),
                 listOf("settings", "outcome", "identity", "clock"),
             )
--- /dev/null
+++ b/src/test/kotlin/org/persimmonrelay/backend/BackendServers.kt
@@ -0,0 +1,37 @@
+package org.persimmonrelay.backend
+
+import org.persimmonrelay.http.ServerAddress
+import org.persimmonrelay.identity.FailureDomain
+import org.persimmonrelay.identity.Region
+import org.persimmonrelay.identity.ServerId
+import org.persimmonrelay.route.EngineShape
+import org.persimmonrelay.route.ServiceId
+
+/** Makes servers and places for tests. */
+object BackendServers {
+    val ENGINES = ServiceId("planner-llm")
+    val SHAPE = EngineShape(slots = 48, kvTokens = 400_000)
+    val PLACE =
+        NodePlace(
+            FailureDomain("puget-a"),
+            Region("puget"),
+            mapOf(FailureDomain("puget-a") to Region("puget"), FailureDomain("inland-a") to Region("inland")),
+        )
+
+    fun server(
+        id: String,
+        stage: EngineStage? = EngineStage.DECODE,
+        domain: String = "puget-a",
+        leaving: Boolean = false,
+        slots: Int = 48,
+    ) = BackendServer(
+        instance = ServerInstance(ServerId(id), 1),
+        service = ENGINES,
+        address = ServerAddress("127.0.0.1", 1),
+        domain = FailureDomain(domain),
+        slots = slots,
+        isLeaving = leaving,
+        isCheap = false,
+        stage = stage,
+    )
+}
--- /dev/null
+++ b/src/test/kotlin/org/persimmonrelay/forward/ForwardFixture.kt
@@ -0,0 +1,167 @@
+package org.persimmonrelay.forward
+
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import org.persimmonrelay.adapter.HeaderDialect
+import org.persimmonrelay.backend.BackendDirectory
+import org.persimmonrelay.backend.BackendServer
+import org.persimmonrelay.backend.BackendServers
+import org.persimmonrelay.backend.EngineStage
+import org.persimmonrelay.backend.RetryRule
+import org.persimmonrelay.backend.ServerInstance
+import org.persimmonrelay.clock.Moment
+import org.persimmonrelay.clock.SystemClock
+import org.persimmonrelay.http.EventLoopThread
+import org.persimmonrelay.http.ServerAddress
+import org.persimmonrelay.identity.NodeId
+import org.persimmonrelay.identity.ServerId
+import org.persimmonrelay.identity.WorkspaceId
+import org.persimmonrelay.route.CallerLimits
+import org.persimmonrelay.route.Route
+import org.persimmonrelay.route.RouteKind
+import org.persimmonrelay.route.RouteTable
+import org.persimmonrelay.route.RouteTables
+import org.persimmonrelay.route.Service
+import org.persimmonrelay.route.WeightedService
+import org.persimmonrelay.route.Workspace
+import org.persimmonrelay.settings.ListenSettings
+import org.persimmonrelay.settings.RelayBounds
+import org.persimmonrelay.settings.RelaySettings
+import org.persimmonrelay.timeline.EventCode
+import org.persimmonrelay.timeline.EventField
+import org.persimmonrelay.usage.UsageMeter
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A forwarding node on loopback before scripted servers. */
+class ForwardFixture(
+    kind: RouteKind,
+    private val servers: List<ScriptedServer>,
+    stages: List<EngineStage?> = servers.map { null },
+    timeout: Duration = 3.seconds,
+    attempts: Int = 2,
+) : AutoCloseable {
+    private val thread = EventLoopThread("test-traffic")
+    private val recorded = CopyOnWriteArrayList<Pair<EventCode, List<EventField>>>()
+    val usage = CopyOnWriteArrayList<WorkspaceId>()
+    val directory = BackendDirectory { _, _ -> }
+    private val tables = RouteTables { _, _ -> }
+    private val nowhere = ListenSettings("127.0.0.1", 0)
+    private val server =
+        ForwardServer(
+            ForwardServerParts(
+                settings = RelaySettings(
+                    node = NodeId("n1"),
+                    domain = BackendServers.PLACE.domain,
+                    region = BackendServers.PLACE.region,
+                    regions = BackendServers.PLACE.regions,
+                    callers = nowhere,
+                    readiness = nowhere,
+                    metrics = nowhere,
+                    bounds = RelayBounds(),
+                ),
+                place = BackendServers.PLACE,
+                tables = tables,
+                directory = directory,
+                dialect = HeaderDialect(),
+                usage = object : UsageMeter {
+                    override fun record(workspace: WorkspaceId, promptTokens: Long, outputTokens: Long) {
+                        usage += workspace
+                    }
+                },
+                bounds = object : ForwardBounds {
+                    override fun retryRule() = RetryRule(0.2, 20, 10.seconds)
+
+                    override fun keyBound() = null
+
+                    override fun nodes() = 1
+                },
+                clock = SystemClock,
+                events = { code, fields -> recorded += code to fields.toList() },
+                registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
+            ),
+            thread,
+        )
+    private val port: Int
+
+    init {
+        val route = Route(
+            name = "r",
+            host = "host.example",
+            prefix = "/a/",
+            kind = kind,
+            services = listOf(WeightedService(BackendServers.ENGINES, 1)),
+            maxAttempts = attempts,
+            timeout = timeout,
+            latencyTarget = 200.milliseconds,
+            priority = 0,
+            isOpen = false,
+        )
+        val engine = BackendServers.SHAPE.takeIf { stages.any { it != null } }
+        val service = Service(BackendServers.ENGINES, 100, engine)
+        val keys = mapOf("key-1" to Workspace(WorkspaceId("w1"), null))
+        val table = RouteTable(
+            version = 1,
+            routes = listOf(route),
+            services = mapOf(service.id to service),
+            limits = CallerLimits(headerBytes = 8_192, bodyBytes = 4_096, headerTimeout = 300.milliseconds),
+            workspacesByKey = keys,
+            keysRequired = true,
+        )
+        tables.offer(table, Moment.ZERO)
+        directory.replaceAll(servers.mapIndexed { i, it -> backend(i, it, stages[i]) }, false, Moment.ZERO)
+        port = runBlocking { withContext(thread.dispatcher) { server.start() } }
+    }
+
+    private fun backend(index: Int, server: ScriptedServer, stage: EngineStage?): BackendServer =
+        BackendServers.server("s$index", stage).copy(
+            instance = ServerInstance(ServerId("s$index"), 1),
+            address = ServerAddress("127.0.0.1", server.port),
+        )
+
+    fun connect() = Socket("127.0.0.1", port).apply { soTimeout = READ_TIMEOUT_MILLIS }
+
+    /** Sends [text] on a connection of its own and returns all that comes back until it ends. */
+    fun exchange(text: String): String = connect().use { socket ->
+        socket.say(text)
+        val all = StringBuilder()
+        val input = socket.getInputStream()
+        try {
+            while (true) {
+                val byte = input.read()
+                if (byte < 0) break
+                all.append(byte.toChar())
+            }
+        } catch (_: java.net.SocketException) {
+            all.append(RESET)
+        }
+        all.toString()
+    }
+
+    override fun close() {
+        servers.forEach { it.close() }
+        thread.close()
+    }
+
+    companion object {
+        const val RESET = "<reset>"
+        private const val READ_TIMEOUT_MILLIS = 10_000
+
+        fun request(id: String, method: String = "POST", body: String = "hello", vararg more: String): String {
+            val headers = listOf(
+                "Host: host.example",
+                "Request-Id: $id",
+                "Deadline-Ms: 2500",
+                "Authorization: Token key-1",
+                "Connection: close",
+                "Content-Length: ${body.length}",
+            ) + more
+            return "$method /a/x?q=1 HTTP/1.1\r\n" + headers.joinToString("") { "$it\r\n" } + "\r\n" + body
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/persimmonrelay/forward/ScriptedServer.kt
@@ -0,0 +1,93 @@
+package org.persimmonrelay.forward
+
+import java.io.BufferedInputStream
+import java.io.InputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.concurrent.thread
+
+/** A request as a backend server got it. */
+class SeenRequest(val head: String, val body: ByteArray) {
+    val line: String = head.lineSequence().first()
+
+    fun header(name: String): String? =
+        head.lineSequence().firstOrNull { it.startsWith("$name:", ignoreCase = true) }?.substringAfter(':')?.trim()
+
+    val id: String get() = header("Request-Id").orEmpty()
+}
+
+/** A backend server on loopback that does with each request what [script] says, on the raw socket. */
+class ScriptedServer(private val script: (SeenRequest, Socket) -> Unit) : AutoCloseable {
+    private val listening = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
+    private val open = CopyOnWriteArrayList<Socket>()
+    val port: Int = listening.localPort
+    val seen = CopyOnWriteArrayList<SeenRequest>()
+
+    init {
+        thread(isDaemon = true) { accept() }
+    }
+
+    private fun accept() {
+        while (!listening.isClosed) {
+            val socket = runCatching { listening.accept() }.getOrNull() ?: return
+            open += socket
+            thread(isDaemon = true) { runCatching { serve(socket) } }
+        }
+    }
+
+    private fun serve(socket: Socket) {
+        val input = BufferedInputStream(socket.getInputStream())
+        while (true) {
+            val request = read(input) ?: return
+            seen += request
+            script(request, socket)
+        }
+    }
+
+    private fun read(input: InputStream): SeenRequest? {
+        val head = StringBuilder()
+        while (!head.endsWith("\r\n\r\n")) {
+            val byte = input.read()
+            if (byte < 0) return null
+            head.append(byte.toChar())
+        }
+        val length = Regex("(?i)content-length: *(\\d+)").find(head)?.groupValues?.get(1)?.toInt() ?: 0
+        return SeenRequest(head.toString().trimEnd(), input.readNBytes(length))
+    }
+
+    override fun close() {
+        listening.close()
+        open.forEach { it.close() }
+    }
+}
+
+/** Writes [text] to the socket at once. */
+fun Socket.say(text: String) {
+    getOutputStream().write(text.encodeToByteArray())
+    getOutputStream().flush()
+}
+
+/** Ends the connection with a reset. */
+fun Socket.reset() {
+    setSoLinger(true, 0)
+    close()
+}
+
+/** A whole answer of the server that got [request]. */
+fun answerTo(request: SeenRequest, status: String, body: String, vararg more: String): String {
+    val headers = listOf("Request-Id: ${request.id}", "Server-Stamp: proof", "Content-Length: ${body.length}") + more
+    return "HTTP/1.1 $status\r\n" + headers.joinToString("") { "$it\r\n" } + "\r\n" + body
+}
+
+/** The head of a stream in chunks. */
+fun streamHead(request: SeenRequest): String =
+    "HTTP/1.1 200 OK\r\nRequest-Id: ${request.id}\r\nServer-Stamp: proof\r\n" +
+        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+fun chunk(text: String): String = "${text.length.toString(16)}\r\n$text\r\n"
+
+fun event(id: Int): String = "id: $id\ndata: piece-$id\n\n"
+
+const val LAST_CHUNK: String = "0\r\n\r\n"
