Keep shared prompts at two servers and reading away from makers

Change: the second server by rendezvous is believed to keep a shared prompt too and takes over when the first has much to do; reading at a maker counts 70 us a token as a disturbance; up to eight servers a failure domain.

--- a/src/main/kotlin/org/persimmonrelay/backend/ServerChooser.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/ServerChooser.kt
@@ -92,8 +92,8 @@
         work: Work,
         hasHome: Boolean,
     ): Option {
-        val home = if (hasHome) home(query.request, servers) else null
-        return servers.map { option(it, it.instance.id == home, query, engine, work) }.minBy { it.cost }
+        val homes = if (hasHome) homes(query.request, servers) else emptyMap()
+        return servers.map { option(it, homes[it.instance.id] ?: 0.0, query, engine, work) }.minBy { it.cost }
     }
 
     private fun split(
@@ -116,7 +116,7 @@
     ): Option {
         val nearest = NodePlace(readIn, place.regions[readIn] ?: place.region, place.regions)
         return makers.map { server ->
-            val plain = option(server, isHome = false, query, engine, Work.MAKE)
+            val plain = option(server, keeps = 0.0, query, engine, Work.MAKE)
             val move = nearest.moveDistance(server.domain)
             Option(server, plain.expected + move, plain.cost + move, 0)
         }.minBy { it.cost }
@@ -124,7 +124,7 @@
 
     private fun option(
         server: BackendServer,
-        isHome: Boolean,
+        keeps: Double,
         query: PlacementQuery,
         engine: EngineShape?,
         work: Work,
@@ -132,7 +132,7 @@
         val load = load(server, engine)
         val request = query.request
         val reads = request.isPrompted && work != Work.MAKE
-        val toRead = if (reads) tokensToRead(request, load, isHome) else 0
+        val toRead = if (reads) tokensToRead(request, load, keeps) else 0
         val time = when {
             reads -> model(request.service, server.stage).expected((load.tokensAhead + toRead).toDouble())
             request.isPrompted -> HANDOVER
@@ -154,16 +154,20 @@
         return if (over <= 0) ZERO else PLAIN_SERVICE_TIME * over / server.slots.coerceAtLeast(1)
     }
 
-    private fun tokensToRead(request: WorkRequest, load: ServerLoad, isHome: Boolean): Int {
+    private fun tokensToRead(request: WorkRequest, load: ServerLoad, keeps: Double): Int {
         val kept = load.memory.kept(request.prompt)
-        val likely = if (isHome) (request.sharedTokens * HOME_KEEPS).toInt() else 0
+        val likely = (request.sharedTokens * keeps).toInt()
         return (request.promptTokens - maxOf(kept, likely)).coerceAtLeast(1)
     }
 
-    /** All nodes agree on one server for each shared prompt, without a word between them. */
-    private fun home(request: WorkRequest, servers: List<BackendServer>): ServerId? {
-        val key = request.shared.lastOrNull()?.id ?: return null
-        return servers.maxByOrNull { rank(key, it.instance.id) }?.instance?.id
+    /**
+     * The servers that all nodes send a shared prompt to, without a word between them, with the likelihood that each
+     * keeps it. The second takes over while the first has much to do.
+     */
+    private fun homes(request: WorkRequest, servers: List<BackendServer>): Map<ServerId, Double> {
+        val key = request.shared.lastOrNull()?.id ?: return emptyMap()
+        val ranked = servers.sortedByDescending { rank(key, it.instance.id) }
+        return ranked.zip(HOMES_KEEP) { server, keeps -> server.instance.id to keeps }.toMap()
     }
 
     private fun rank(key: String, server: ServerId): Int {
@@ -186,7 +190,7 @@
         val HANDOVER = 25.milliseconds
 
         /** Reading on a server that makes tokens holds up the streams that run there. */
-        val DISTURBANCE_PER_TOKEN = 20.microseconds
+        val DISTURBANCE_PER_TOKEN = 70.microseconds
         const val LEAST_SPLIT_TOKENS = 256
         val SPREAD = 1.milliseconds
         const val SPREAD_STEPS = 4
@@ -194,11 +198,11 @@
         /** What each running request adds to the steps of all. */
         val CROWD = 3.milliseconds
 
-        /** Likelihood that a shared prompt is kept by the server that all nodes send it to. */
-        const val HOME_KEEPS = 0.9
+        /** Likelihood that a shared prompt is kept by the first and the second server that nodes send it to. */
+        val HOMES_KEEP = listOf(0.9, 0.6)
 
         /** Reading what another server keeps already is work that others wait for. */
-        val REREAD_PER_TOKEN = 25.microseconds
+        val REREAD_PER_TOKEN = 40.microseconds
         const val HASH_FACTOR = -0x61c88647
         const val HASH_MIX = 0x2c1b3c6d
         const val HASH_SHIFT = 15
--- a/src/main/kotlin/org/persimmonrelay/cli/ctl/CtlCommand.kt
+++ b/src/main/kotlin/org/persimmonrelay/cli/ctl/CtlCommand.kt
@@ -11,6 +11,10 @@
 public class CtlCommand(private val environment: Map<String, String> = System.getenv()) {
     /** Runs the command in [args]; returns one of [CtlExit]'s codes. */
     public fun run(args: List<String>, out: PrintStream, err: PrintStream): Int {
+        if (args.any { it in HELP_WORDS }) {
+            out.println(USAGE)
+            return CtlExit.OK.code
+        }
         val arguments = CtlArguments()
         try {
             CmdLineParser(arguments).parseArgument(args)
@@ -51,6 +55,7 @@
 
     private companion object {
         const val DEFAULT_SERVER = "http://127.0.0.1:8081"
+        val HELP_WORDS = setOf("--help", "-h")
         const val KEY_VARIABLE = "PERSIMMONRELAY_KEY"
         val USAGE = """
             Usage: persimmonrelay ctl COMMAND [--server URL] [--key-file FILE] [--json]
--- a/src/main/kotlin/org/persimmonrelay/scale/ScalePlanner.kt
+++ b/src/main/kotlin/org/persimmonrelay/scale/ScalePlanner.kt
@@ -21,7 +21,7 @@
 public data class ScaleSettings(
     val ordinaryKept: Int = 1,
     val ordinaryInstead: Int = 3,
-    val mostPerDomain: Int = 6,
+    val mostPerDomain: Int = 8,
     val dearShare: Double = 0.5,
     val retryDeclined: Duration = 2.seconds,
     val repeatAfter: Duration = 20.seconds,
--- a/src/test/kotlin/org/persimmonrelay/cli/ctl/CtlCommandTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/cli/ctl/CtlCommandTest.kt
@@ -19,6 +19,13 @@
     @AfterTest
     fun stop() = harness.close()
 
+    @Test
+    fun `help is an answer and no mistake`() {
+        assertEquals(CtlExit.OK.code, CtlCommand(emptyMap()).run(listOf("--help"), PrintStream(out), PrintStream(err)))
+        assertTrue("key withdraw" in out.toString())
+        assertEquals("", err.toString())
+    }
+
     @Test
     fun `objects are applied, listed, labelled, drained and deleted`() {
         val file = Files.createTempFile("apply", ".json")
--- a/src/test/kotlin/org/persimmonrelay/forward/ForwardFixture.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/ForwardFixture.kt
@@ -32,7 +32,9 @@
 import org.persimmonrelay.timeline.EventCode
 import org.persimmonrelay.timeline.EventField
 import org.persimmonrelay.usage.UsageMeter
+import java.io.InputStream
 import java.net.Socket
+import java.net.SocketException
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -114,7 +116,7 @@
             keysRequired = true,
         )
         tables.offer(table, Moment.ZERO)
-        directory.replaceAll(servers.mapIndexed { i, it -> backend(i, it, stages[i]) }, false, Moment.ZERO)
+        directory.replaceAll(servers.mapIndexed { i, server -> backend(i, server, stages[i]) }, false, Moment.ZERO)
         port = runBlocking { withContext(thread.dispatcher) { server.start() } }
     }
 
@@ -130,19 +132,19 @@
     fun exchange(text: String): String = connect().use { socket ->
         socket.say(text)
         val all = StringBuilder()
-        val input = socket.getInputStream()
-        try {
-            while (true) {
-                val byte = input.read()
-                if (byte < 0) break
-                all.append(byte.toChar())
-            }
-        } catch (_: java.net.SocketException) {
-            all.append(RESET)
-        }
+        val end = runCatching { readInto(all, socket.getInputStream()) }.exceptionOrNull()
+        if (end is SocketException) all.append(RESET) else end?.let { throw it }
         all.toString()
     }
 
+    private fun readInto(all: StringBuilder, input: InputStream) {
+        while (true) {
+            val byte = input.read()
+            if (byte < 0) return
+            all.append(byte.toChar())
+        }
+    }
+
     override fun close() {
         servers.forEach { it.close() }
         thread.close()
