Keep ordinary servers in one domain and take duties over sooner

Cause: an ordinary server costs five times a cheap one and takes its place in the number that a domain may have.

Change: only the domain with the lowest price keeps an ordinary server while cheap ones carry the others. A watch goes on over failed reads (a row that is unchanged was not renewed), and messages of an earlier holder are waited for 0.2 s.

Ruled out: that the holder had not noticed its loss; it lapsed on time.

--- a/src/main/kotlin/org/persimmonrelay/node/RelayDuties.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/RelayDuties.kt
@@ -90,8 +90,9 @@
 
     /**
      * A lease outlasts the time within which receivers take two changes of hands for a quarrel. Silence beyond it
-     * is evidence enough that a holder stopped: it stops by its own clock, which counts suspensions, and its calls
-     * are given up long before.
+     * is evidence enough that a holder stopped: it stops by its own clock, which counts suspensions, and what it
+     * sent before has been given up by then. A row that is unchanged after a failed read was not renewed meanwhile
+     * either, whatever the reason, so the watch goes on.
      */
     private fun termsFor(bounds: RelayBounds) = LeaseTerms(
         duration = bounds.lease + 500.milliseconds,
@@ -99,10 +100,11 @@
         sendMargin = 1_200.milliseconds,
         renewEvery = 1.seconds,
         retryEvery = 200.milliseconds,
-        checkEvery = 1.seconds,
-        messageLifetime = 1_200.milliseconds,
+        checkEvery = 600.milliseconds,
+        messageLifetime = 200.milliseconds,
         watchers = 2,
         takeStagger = 200.milliseconds,
+        failedReadRestartsWatch = false,
     )
 
     private companion object {
--- a/src/main/kotlin/org/persimmonrelay/scale/ScalePlanner.kt
+++ b/src/main/kotlin/org/persimmonrelay/scale/ScalePlanner.kt
@@ -14,8 +14,9 @@
 /**
  * How many servers to have.
  *
- * Each failure domain keeps [ordinaryKept] servers that are not taken away on short notice. Where no cheap ones are
- * to be had, up to [ordinaryInstead] ordinary ones stand in for them. A declined order is tried again after
+ * The failure domain with the lowest price keeps [ordinaryKept] servers that are not taken away on short notice, the
+ * others none while they have cheap ones. Where no cheap ones are to be had, up to [ordinaryInstead] ordinary ones
+ * stand in for them. A declined order is tried again after
  * [retryDeclined], and every order is repeated after [repeatAfter], in case it was lost.
  */
 public data class ScaleSettings(
@@ -30,7 +31,7 @@
 /**
  * Decides the numbers of servers of one service.
  *
- * Cheap servers carry the load and a few ordinary ones outlast the loss of a domain's cheap ones. Ordinary servers
+ * Cheap servers carry the load and a few ordinary ones outlast the loss of all cheap ones. Ordinary servers
  * go only once cheap ones have taken their place. Not thread-safe.
  */
 public class ScalePlanner(private val settings: ScaleSettings = ScaleSettings()) {
@@ -71,7 +72,7 @@
     }
 
     private fun ordinary(service: ServiceId, domain: FailureDomain, present: DomainCensus, scaling: Scaling): Int {
-        val least = maxOf(scaling.min, settings.ordinaryKept)
+        val least = leastOrdinary(domain, present, scaling)
         if (!isCheapWorthwhile(scaling)) return present.ordinary.coerceIn(least, maxOf(least, scaling.max))
         val wanted = settings.ordinaryInstead - present.cheap
         val isDeclined = Subject(service, domain, isCheap = true) in declined
@@ -79,6 +80,13 @@
         return reachable.coerceIn(least, maxOf(least, scaling.max))
     }
 
+    /** Cheap servers leave a domain together, so one domain keeps ordinary ones whatever happens. */
+    private fun leastOrdinary(domain: FailureDomain, present: DomainCensus, scaling: Scaling): Int {
+        val cheapest = scaling.prices.minByOrNull { it.value }?.key
+        val carriedByCheap = domain != cheapest && present.cheap >= settings.ordinaryInstead
+        return if (carriedByCheap) 0 else maxOf(scaling.min, settings.ordinaryKept)
+    }
+
     private fun cheap(scaling: Scaling, ordinary: Int): Int {
         if (!isCheapWorthwhile(scaling)) return 0
         return (minOf(scaling.max, settings.mostPerDomain) - ordinary).coerceAtLeast(0)
--- a/src/test/kotlin/org/persimmonrelay/scale/ScalePlannerTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/scale/ScalePlannerTest.kt
@@ -12,6 +12,7 @@
 
 class ScalePlannerTest {
     private val domain = FailureDomain("puget-a")
+    private val dear = FailureDomain("inland-a")
     private val planner = ScalePlanner()
     private val service = service(spotPrice = 0.18)
 
@@ -24,10 +25,19 @@
     }
 
     @Test
-    fun `one ordinary server stays beside the cheap ones`() {
-        val orders = planner.plan(service, mapOf(domain to DomainCensus(ordinary = 3, cheap = 3)), Moment.ZERO)
+    fun `one ordinary server stays beside the cheap ones in the domain with the lowest price only`() {
+        val census = listOf(domain, dear).associateWith { DomainCensus(ordinary = 3, cheap = 3) }
+        val ordinary = planner.plan(service, census, Moment.ZERO).filter { !it.isCheap }
 
-        assertEquals(1, orders.single { !it.isCheap }.servers)
+        assertEquals(mapOf(domain to 1, dear to 0), ordinary.associate { it.domain to it.servers })
+    }
+
+    @Test
+    fun `a domain that loses its cheap servers gets an ordinary one at once`() {
+        val census = mapOf(domain to DomainCensus(1, 5), dear to DomainCensus(0, 0))
+        val orders = planner.plan(service, census, Moment.ZERO)
+
+        assertEquals(1, orders.single { it.domain == dear && !it.isCheap }.servers)
     }
 
     @Test
@@ -61,6 +71,6 @@
     private fun service(spotPrice: Double?) = Service(
         id = ServiceId("planner-llm"),
         maxConnections = 10,
-        scaling = Scaling(min = 1, max = 6, startup = 4.seconds, spotPrice = spotPrice, prices = mapOf(domain to 1.0)),
+        scaling = Scaling(min = 1, max = 6, startup = 4.seconds, spotPrice = spotPrice, prices = mapOf(domain to 1.0, dear to 1.25)),
     )
 }
