Give the attempts of a request a class of their own

Cause: Forwarder held the whole of a request's attempts as an inner class of 150 lines, and ForwardServer's file held three public types.

Change: CallRun, ForwardParts, ForwardBounds and ForwardServerParts stand in their own files; nothing else changes. Tests of forwarding pass.

--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/forward/ForwardParts.kt
@@ -0,0 +1,21 @@
+package org.persimmonrelay.forward
+
+import org.persimmonrelay.backend.BackendDirectory
+import org.persimmonrelay.backend.BackendServer
+import org.persimmonrelay.backend.RetryAllowance
+import org.persimmonrelay.backend.ServerChooser
+import org.persimmonrelay.clock.Clock
+import org.persimmonrelay.usage.UsageMeter
+
+/** What forwarding stands on. */
+public class ForwardParts(
+    public val directory: BackendDirectory,
+    public val chooser: ServerChooser,
+    public val allowance: RetryAllowance,
+    public val dialect: CallDialect,
+    public val answers: OwnAnswers,
+    public val usage: UsageMeter,
+    public val log: RequestLog,
+    public val clock: Clock,
+    public val freeHandle: (BackendServer, KvHandle) -> Unit,
+)
--- a/src/main/kotlin/org/persimmonrelay/forward/ForwardServer.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ForwardServer.kt
@@ -1,14 +1,9 @@
 package org.persimmonrelay.forward
 
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import kotlinx.coroutines.delay
-import org.persimmonrelay.backend.BackendDirectory
-import org.persimmonrelay.backend.NodePlace
 import org.persimmonrelay.backend.RetryAllowance
-import org.persimmonrelay.backend.RetryRule
 import org.persimmonrelay.backend.ServerChooser
-import org.persimmonrelay.clock.Clock
 import org.persimmonrelay.http.CallerAnswer
 import org.persimmonrelay.http.CallerBounds
 import org.persimmonrelay.http.CallerExchange
@@ -18,40 +13,10 @@
 import org.persimmonrelay.http.HttpConnector
 import org.persimmonrelay.http.ServerAddress
 import org.persimmonrelay.route.CallerLimits
-import org.persimmonrelay.route.RouteTables
 import org.persimmonrelay.settings.ListenSettings
-import org.persimmonrelay.settings.RelaySettings
-import org.persimmonrelay.timeline.EventSink
-import org.persimmonrelay.usage.UsageMeter
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Bounds that change while the node runs. */
-public interface ForwardBounds {
-    /** What all nodes together may send again. */
-    public fun retryRule(): RetryRule
-
-    /** How long keys are accepted without word from the store; null for as long as the node runs. */
-    public fun keyBound(): Duration?
-
-    /** Nodes that share the budget and the servers' connections. */
-    public fun nodes(): Int
-}
-
-/** What a [ForwardServer] is made of. */
-public class ForwardServerParts(
-    public val settings: RelaySettings,
-    public val place: NodePlace,
-    public val tables: RouteTables,
-    public val directory: BackendDirectory,
-    public val dialect: CallDialect,
-    public val usage: UsageMeter,
-    public val bounds: ForwardBounds,
-    public val clock: Clock,
-    public val events: EventSink,
-    public val registry: PrometheusMeterRegistry,
-)
-
 /** The face for callers with the addresses for readiness and metrics. Confined to [thread], the traffic thread. */
 public class ForwardServer(private val parts: ForwardServerParts, private val thread: EventLoopThread) {
     private val connections = ServerConnections(HttpConnector(thread), parts.bounds::nodes)
--- a/src/test/kotlin/org/persimmonrelay/scale/ScalePlannerTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/scale/ScalePlannerTest.kt
@@ -71,6 +71,15 @@
     private fun service(spotPrice: Double?) = Service(
         id = ServiceId("planner-llm"),
         maxConnections = 10,
-        scaling = Scaling(min = 1, max = 6, startup = 4.seconds, spotPrice = spotPrice, prices = mapOf(domain to 1.0, dear to 1.25)),
+        scaling = Scaling(
+            min = 1,
+            max = 6,
+            startup = 4.seconds,
+            spotPrice = spotPrice,
+            prices = mapOf(
+                domain to 1.0,
+                dear to 1.25,
+            ),
+        ),
     )
 }
