--- a/src/main/kotlin/org/persimmonrelay/lease/LeaseTerms.kt
+++ b/src/main/kotlin/org/persimmonrelay/lease/LeaseTerms.kt
@@ -9,7 +9,9 @@
  *
  * The holder acts for [duration] from before a renewal was sent, less [sendMargin]. A candidate takes over after
  * [duration] + [tolerance] of silence, which has to cover how far clocks drift apart in that time. What a
- * process sent arrives within [messageLifetime] or never. [failedReadRestartsWatch] is false in comparisons only.
+ * process sent arrives within [messageLifetime] or never.
+ * [failedReadRestartsWatch] may be false where a holder always stops by its own clock: then only how soon others take
+ * over depends on it.
  */
 public data class LeaseTerms(
     val duration: Duration = 10.seconds,
