--- a/src/test/kotlin/org/persimmonrelay/adapter/DecodersTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/adapter/DecodersTest.kt
@@ -90,6 +90,7 @@
             "{}",
             """{"service":"s","address":"nowhere","zone":"z","state":"ready"}""",
             """{"service":"s","address":"10.0.0.9:80","zone":"z","state":"dancing"}""",
+            """{"service":"s","address":"name.example:80","zone":"z","state":"ready"}""",
             """{"service":4,"address":"10.0.0.9:80","zone":"z","state":"ready"}""",
         ).forEach { assertNull(servers.decode(row(it)), it) }
     }
