Drop servers in time after a node was cut from the store

A second gap of 0.4 s began the grace of two seconds anew.

Change: a gap counts only when it is long enough for entries to lapse (two seconds); each lapsed server has its own end, which a short gap does not move.

Ruled out: that the node had not heard of the removal (2601 at 28.758 s).

--- a/src/main/kotlin/org/persimmonrelay/backend/BackendDirectory.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/BackendDirectory.kt
@@ -31,9 +31,12 @@
  */
 public class BackendDirectory(private val events: EventSink) {
     private val listed = HashMap<ServerId, BackendServer>()
-    private val lapsed = HashMap<ServerId, BackendServer>()
+    private val lapsed = HashMap<ServerId, Lapsed>()
     private var storeBackAt: Moment? = null
 
+    /** A server whose entry may only have lapsed; it is gone unless it is listed again [until] then. */
+    private data class Lapsed(val server: BackendServer, val until: Moment)
+
     @Volatile
     public var view: BackendView = BackendView.EMPTY
         private set
@@ -43,15 +46,16 @@
     public var isLoaded: Boolean = false
         private set
 
-    /** The store answers again since [now], after it did not. */
+    /** The store answers again since [now], after it was away for long enough to let entries lapse. */
     public fun storeRegained(now: Moment) {
         storeBackAt = now
+        lapsed.replaceAll { _, entry -> entry.copy(until = now + LAPSE_GRACE) }
     }
 
     /** The whole list as read by one call. */
-    public fun replaceAll(servers: List<BackendServer>, storeUnsteady: Boolean, now: Moment) {
+    public fun replaceAll(servers: List<BackendServer>, storeAway: Boolean, now: Moment) {
         val present = servers.associateBy { it.instance.id }
-        listed.keys.filter { it !in present }.forEach { vanish(it, storeUnsteady, now) }
+        listed.keys.filter { it !in present }.forEach { vanish(it, storeAway, now) }
         servers.forEach(::put)
         isLoaded = true
         publish()
@@ -64,18 +68,18 @@
     }
 
     /** The entry of [id] was removed or names no server any more. */
-    public fun removed(id: ServerId, storeUnsteady: Boolean, now: Moment) {
-        vanish(id, storeUnsteady, now)
+    public fun removed(id: ServerId, storeAway: Boolean, now: Moment) {
+        vanish(id, storeAway, now)
         publish()
     }
 
     /** Drops lapsed servers that did not come back in time. */
-    public fun expireLapsed(storeUnsteady: Boolean, now: Moment) {
-        if (lapsed.isEmpty() || storeUnsteady) return
-        val back = storeBackAt
-        if (back != null && now - back < LAPSE_GRACE) return
-        lapsed.keys.forEach { events.record(BackendEvent.SERVER_GONE, "server" with it, "lapsed" with true) }
-        lapsed.clear()
+    public fun expireLapsed(storeAway: Boolean, now: Moment) {
+        if (storeAway) return
+        val gone = lapsed.filterValues { now >= it.until }.keys.toList()
+        if (gone.isEmpty()) return
+        gone.forEach { events.record(BackendEvent.SERVER_GONE, "server" with it, "lapsed" with true) }
+        lapsed.keys.removeAll(gone.toSet())
         publish()
     }
 
@@ -96,16 +100,16 @@
         )
     }
 
-    private fun vanish(id: ServerId, storeUnsteady: Boolean, now: Moment) {
+    private fun vanish(id: ServerId, storeAway: Boolean, now: Moment) {
         val server = listed.remove(id) ?: return
         val recentlyBack = storeBackAt?.let { now - it < LAPSE_GRACE } ?: false
-        val mayHaveLapsed = (storeUnsteady || recentlyBack) && !server.isLeaving
-        if (mayHaveLapsed) lapsed[id] = server
+        val mayHaveLapsed = (storeAway || recentlyBack) && !server.isLeaving
+        if (mayHaveLapsed) lapsed[id] = Lapsed(server, (storeBackAt ?: now) + LAPSE_GRACE)
         events.record(BackendEvent.SERVER_GONE, "server" with id, "lapsed" with mayHaveLapsed)
     }
 
     private fun publish() {
-        view = BackendView((listed.values + lapsed.values).filterNot { it.isLeaving })
+        view = BackendView((listed.values + lapsed.values.map { it.server }).filterNot { it.isLeaving })
     }
 
     private companion object {
--- a/src/main/kotlin/org/persimmonrelay/node/RelayNode.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/RelayNode.kt
@@ -94,7 +94,7 @@
     private suspend fun keepHouse() {
         while (true) {
             delay(HOUSEKEEPING)
-            directory.expireLapsed(health.isUnsteady, clock.now())
+            clock.now().let { directory.expireLapsed(health.mayHaveLapsed(it), it) }
             withContext(traffic.dispatcher) { server.forgetGone() }
         }
     }
--- a/src/main/kotlin/org/persimmonrelay/node/ServerListener.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/ServerListener.kt
@@ -16,14 +16,16 @@
 ) : RowListener {
     override fun replaced(answer: FeedAnswer) {
         val servers = answer.rows.mapNotNull(reader::backendServer)
-        directory.replaceAll(servers, health().isUnsteady, clock.now())
+        val now = clock.now()
+        directory.replaceAll(servers, health().mayHaveLapsed(now), now)
     }
 
     override fun changed(answer: FeedAnswer) {
+        val now = clock.now()
         for (row in answer.rows) {
             val server = reader.backendServer(row)
             if (server == null) {
-                directory.removed(ServerId(row.key), health().isUnsteady, clock.now())
+                directory.removed(ServerId(row.key), health().mayHaveLapsed(now), now)
             } else {
                 directory.changed(server)
             }
--- a/src/test/kotlin/org/persimmonrelay/backend/BackendDirectoryTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/backend/BackendDirectoryTest.kt
@@ -3,6 +3,7 @@
 import org.persimmonrelay.backend.BackendServers.ENGINES
 import org.persimmonrelay.backend.BackendServers.server
 import org.persimmonrelay.clock.Moment
+import org.persimmonrelay.platform.StoreHealth
 import org.persimmonrelay.timeline.EventSink
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -17,7 +18,7 @@
 
     @Test
     fun `a leaving server gets no new requests from the moment that it is known to leave`() {
-        directory.replaceAll(listOf(a, server("b")), storeUnsteady = false, now = Moment.ZERO)
+        directory.replaceAll(listOf(a, server("b")), storeAway = false, now = Moment.ZERO)
 
         directory.changed(server("a", leaving = true))
 
@@ -27,41 +28,57 @@
 
     @Test
     fun `an entry that vanishes while the store is steady is gone at once`() {
-        directory.replaceAll(listOf(a), storeUnsteady = false, now = Moment.ZERO)
+        directory.replaceAll(listOf(a), storeAway = false, now = Moment.ZERO)
 
-        directory.removed(a.instance.id, storeUnsteady = false, now = Moment.ZERO)
+        directory.removed(a.instance.id, storeAway = false, now = Moment.ZERO)
 
         assertFalse(a.instance in directory.view)
     }
 
     @Test
     fun `entries that lapse with the store stay in use until it has been back for a while`() {
-        directory.replaceAll(listOf(a), storeUnsteady = false, now = Moment.ZERO)
+        directory.replaceAll(listOf(a), storeAway = false, now = Moment.ZERO)
         val back = Moment.ZERO + 5.seconds
         directory.storeRegained(back)
-        directory.replaceAll(emptyList(), storeUnsteady = false, now = back)
+        directory.replaceAll(emptyList(), storeAway = false, now = back)
 
-        directory.expireLapsed(storeUnsteady = false, now = back + 1_500.milliseconds)
+        directory.expireLapsed(storeAway = false, now = back + 1_500.milliseconds)
         assertTrue(a.instance in directory.view)
 
-        directory.expireLapsed(storeUnsteady = false, now = back + 2_100.milliseconds)
+        directory.expireLapsed(storeAway = false, now = back + 2_100.milliseconds)
+        assertFalse(a.instance in directory.view)
+    }
+
+    @Test
+    fun `a later gap that is too short for a lapse does not keep a lapsed server in use`() {
+        val back = Moment.ZERO + 5.seconds
+        val health = StoreHealth(EventSink.NONE) { directory.storeRegained(it) }
+        directory.replaceAll(listOf(a), storeAway = false, now = Moment.ZERO)
+        health.failed("cut", Moment.ZERO)
+        health.answered(back)
+        directory.replaceAll(emptyList(), health.mayHaveLapsed(back), back)
+        health.failed("slow", back + 400.milliseconds)
+        health.answered(back + 800.milliseconds)
+
+        directory.expireLapsed(health.mayHaveLapsed(back + 2.seconds), back + 2.seconds)
+
         assertFalse(a.instance in directory.view)
     }
 
     @Test
     fun `a lapsed server that is listed again stays`() {
-        directory.replaceAll(listOf(a), storeUnsteady = false, now = Moment.ZERO)
-        directory.replaceAll(emptyList(), storeUnsteady = true, now = Moment.ZERO)
+        directory.replaceAll(listOf(a), storeAway = false, now = Moment.ZERO)
+        directory.replaceAll(emptyList(), storeAway = true, now = Moment.ZERO)
         directory.changed(a)
 
-        directory.expireLapsed(storeUnsteady = false, now = Moment.ZERO + 9.seconds)
+        directory.expireLapsed(storeAway = false, now = Moment.ZERO + 9.seconds)
 
         assertTrue(a.instance in directory.view)
     }
 
     @Test
     fun `a restart under the same id is another instance`() {
-        directory.replaceAll(listOf(a), storeUnsteady = false, now = Moment.ZERO)
+        directory.replaceAll(listOf(a), storeAway = false, now = Moment.ZERO)
 
         directory.changed(a.copy(instance = a.instance.copy(startedAtMillis = 2)))
 
