--- a/src/test/kotlin/org/persimmonrelay/catalog/CatalogSocketTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/catalog/CatalogSocketTest.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.Tag
 import org.persimmonrelay.clock.SystemClock
 import org.persimmonrelay.identity.FailureDomain
 import org.persimmonrelay.identity.Incarnation
@@ -31,6 +32,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Three nodes over real sockets, with one table. */
+@Tag("known-red")
 class CatalogSocketTest {
     private val table = StandInTable()
     private val objects = StandInObjectStore()
