Place requests by what engines report to keep, and copy kept prompts

Each node now follows each engine's reports of changes (one call that waits up to a second, then a pause of 120 ms; a whole list after a gap), where the engine has places for so many nodes.

Tests: PromptMemoryTest, SharedPromptPlacementTest (the load of shared histories), EngineReportCodecTest, EngineWatchTest over sockets. The whole `mvn verify` passed.

--- a/src/main/kotlin/org/persimmonrelay/backend/Placement.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/Placement.kt
@@ -5,8 +5,16 @@
 
 /** Where a request goes. */
 public sealed interface Placement {
-    /** To [server], where the first part of the answer is expected after [expected]. */
-    public data class Chosen(val server: BackendServer, val expected: Duration, val tokensToRead: Int) : Placement
+    /**
+     * To [server], where the first part of the answer is expected after [expected]. The start of the prompt is copied
+     * from another engine first where [fetch] says so.
+     */
+    public data class Chosen(
+        val server: BackendServer,
+        val expected: Duration,
+        val tokensToRead: Int,
+        val fetch: PromptFetch? = null,
+    ) : Placement
 
     /** The prompt is read at [prefill] first; where the tokens are made is chosen after that. */
     public data class Split(val prefill: Chosen, val expected: Duration) : Placement
@@ -15,6 +23,9 @@
     public data class Refused(val reason: RefusalReason, val retryAfter: Duration) : Placement
 }
 
+/** [tokens] of a prompt that the engine [from] keeps are copied, which is expected to take [takes]. */
+public data class PromptFetch(val from: BackendServer, val tokens: Int, val takes: Duration)
+
 /** Why no server gets a request. */
 public enum class RefusalReason { NO_SERVER, TOO_LATE }
 
--- a/src/main/kotlin/org/persimmonrelay/backend/ServerChooser.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/ServerChooser.kt
@@ -1,5 +1,6 @@
 package org.persimmonrelay.backend
 
+import org.persimmonrelay.clock.Moment
 import org.persimmonrelay.identity.FailureDomain
 import org.persimmonrelay.identity.ServerId
 import org.persimmonrelay.route.EngineShape
@@ -22,13 +23,14 @@
     /** Chooses among [servers], which are those of the request's service that may get new requests. */
     public fun choose(query: PlacementQuery, servers: List<BackendServer>, engine: EngineShape?): Placement {
         val usable = sound(servers, query, engine)
+        val holders = holders(usable, query, engine)
         val makers = usable.filter { it.stage != EngineStage.PREFILL }
         if (makers.isEmpty()) return Placement.Refused(RefusalReason.NO_SERVER, NO_SERVER_WAIT)
         val readers = usable.filter { it.stage == EngineStage.PREFILL }
         // Where there are readers, shared prompts are kept by them and not by the servers that make tokens.
-        val whole = best(makers, query, engine, Work.WHOLE, hasHome = readers.isEmpty())
+        val whole = best(makers, query, engine, Work.WHOLE, holders, hasHome = readers.isEmpty())
         val maySplit = query.maySplit && readers.isNotEmpty() && isWorthSplitting(query.request)
-        val split = if (maySplit) split(readers, makers, query, engine) else null
+        val split = if (maySplit) split(readers, makers, query, engine, holders) else null
         val placement = if (split != null && split.cost < whole.cost) split.placement else whole.placement()
         val expected = if (placement is Placement.Split) placement.expected else whole.expected
         if (expected <= query.latestStart) return placement
@@ -48,14 +50,22 @@
     }
 
     /** The request was sent to the chosen server. */
-    public fun sent(chosen: Placement.Chosen, request: WorkRequest, engine: EngineShape?): ServerTicket {
+    public fun sent(chosen: Placement.Chosen, request: WorkRequest, engine: EngineShape?, now: Moment): ServerTicket {
         val load = load(chosen.server, engine)
         load.started(chosen.tokensToRead)
-        if (request.isPrompted) load.memory.read(request.prompt)
+        if (request.isPrompted) load.memory.read(request.prompt, now)
         val learns = request.isPrompted && chosen.tokensToRead > 0
         return ServerTicket(load, model(request.service, chosen.server.stage), chosen, load.tokensAhead, learns)
     }
 
+    /** The engine [server] reported what changed in what it keeps. */
+    public fun keptChanged(server: BackendServer, engine: EngineShape?, changes: KeptChanges, now: Moment): Unit =
+        load(server, engine).memory.changed(changes, now)
+
+    /** The engine [server] reported all that it keeps. */
+    public fun keptListed(server: BackendServer, engine: EngineShape?, list: KeptList, now: Moment): Unit =
+        load(server, engine).memory.replaced(list, now)
+
     /** Forgets what is known of servers that are not in [view]. */
     public fun retain(view: BackendView) {
         loads.keys.retainAll { it in view }
@@ -72,8 +82,9 @@
         val expected: Duration,
         val cost: Duration,
         val tokensToRead: Int,
+        val fetch: PromptFetch? = null,
     ) {
-        fun placement() = Placement.Chosen(server, expected, tokensToRead)
+        fun placement() = Placement.Chosen(server, expected, tokensToRead, fetch)
     }
 
     private class SplitOption(val placement: Placement.Split, val cost: Duration)
@@ -90,19 +101,30 @@
         query: PlacementQuery,
         engine: EngineShape?,
         work: Work,
+        holders: PromptHolders,
         hasHome: Boolean,
     ): Option {
         val homes = if (hasHome) homes(query.request, servers) else emptyMap()
-        return servers.map { option(it, homes[it.instance.id] ?: 0.0, query, engine, work) }.minBy { it.cost }
+        return servers.map { option(it, homes[it.instance.id] ?: 0.0, query, engine, work, holders) }.minBy { it.cost }
     }
 
+    private fun holders(servers: List<BackendServer>, query: PlacementQuery, engine: EngineShape?): PromptHolders {
+        val prompt = query.request.prompt
+        val kept = if (prompt.isEmpty()) emptyMap() else servers.associateWith { kept(it, prompt, engine, query.now) }
+        return PromptHolders(place.regions, engine, kept)
+    }
+
+    private fun kept(server: BackendServer, prompt: List<PromptPart>, engine: EngineShape?, now: Moment): Int =
+        load(server, engine).memory.kept(prompt, now)
+
     private fun split(
         readers: List<BackendServer>,
         makers: List<BackendServer>,
         query: PlacementQuery,
         engine: EngineShape?,
+        holders: PromptHolders,
     ): SplitOption {
-        val reader = best(readers, query, engine, Work.READ, hasHome = true)
+        val reader = best(readers, query, engine, Work.READ, holders, hasHome = true)
         val maker = maker(makers, query, engine, reader.server.domain)
         val expected = reader.expected + maker.expected
         return SplitOption(Placement.Split(reader.placement(), expected), reader.cost + maker.cost)
@@ -116,7 +138,7 @@
     ): Option {
         val nearest = NodePlace(readIn, place.regions[readIn] ?: place.region, place.regions)
         return makers.map { server ->
-            val plain = option(server, keeps = 0.0, query, engine, Work.MAKE)
+            val plain = option(server, keeps = 0.0, query, engine, Work.MAKE, holders = null)
             val move = nearest.moveDistance(server.domain)
             Option(server, plain.expected + move, plain.cost + move, 0)
         }.minBy { it.cost }
@@ -128,13 +150,18 @@
         query: PlacementQuery,
         engine: EngineShape?,
         work: Work,
+        holders: PromptHolders?,
     ): Option {
         val load = load(server, engine)
         val request = query.request
+        val model = model(request.service, server.stage)
         val reads = request.isPrompted && work != Work.MAKE
-        val toRead = if (reads) tokensToRead(request, load, keeps) else 0
+        val own = if (reads) ownTokens(request, load, keeps, query.now) else 0
+        val fetch = if (reads) holders?.fetchFor(server, own, model.perToken.milliseconds) else null
+        val kept = own + (fetch?.tokens ?: 0)
+        val toRead = if (reads) (request.promptTokens - kept).coerceAtLeast(1) else 0
         val time = when {
-            reads -> model(request.service, server.stage).expected((load.tokensAhead + toRead).toDouble())
+            reads -> model.expected((load.tokensAhead + toRead).toDouble()) + (fetch?.takes ?: ZERO)
             request.isPrompted -> HANDOVER
             else -> queueing(server, load)
         }
@@ -146,7 +173,8 @@
             Work.MAKE -> CROWD * load.running
         }
         val spread = SPREAD * Math.floorMod(rank(request.seed.toString(), server.instance.id), SPREAD_STEPS)
-        return Option(server, expected, expected + burden + spread + load.risk + place.distance(server.domain), toRead)
+        val cost = expected + burden + spread + load.risk + place.distance(server.domain)
+        return Option(server, expected, cost, toRead, fetch)
     }
 
     private fun queueing(server: BackendServer, load: ServerLoad): Duration {
@@ -154,10 +182,11 @@
         return if (over <= 0) ZERO else PLAIN_SERVICE_TIME * over / server.slots.coerceAtLeast(1)
     }
 
-    private fun tokensToRead(request: WorkRequest, load: ServerLoad, keeps: Double): Int {
-        val kept = load.memory.kept(request.prompt)
-        val likely = (request.sharedTokens * keeps).toInt()
-        return (request.promptTokens - maxOf(kept, likely)).coerceAtLeast(1)
+    /** Tokens of the prompt that the server keeps; where it doesn't report them, what its other callers left there. */
+    private fun ownTokens(request: WorkRequest, load: ServerLoad, keeps: Double, now: Moment): Int {
+        val kept = load.memory.kept(request.prompt, now)
+        if (load.memory.isReported(now)) return kept
+        return maxOf(kept, (request.sharedTokens * keeps).toInt())
     }
 
     /**
--- a/src/main/kotlin/org/persimmonrelay/backend/ServerTicket.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/ServerTicket.kt
@@ -20,7 +20,7 @@
         leaveQueue()
         if (!learns) return
         load.surprised(took - chosen.expected, now)
-        model.learn(tokensAhead, took)
+        model.learn(tokensAhead, took - (chosen.fetch?.takes ?: Duration.ZERO))
     }
 
     /** The server answered in full, or the caller left before. */
--- a/src/main/kotlin/org/persimmonrelay/forward/Attempt.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/Attempt.kt
@@ -79,6 +79,7 @@
             lastEvent = progress.lastEvent,
             bodyBytes = call.exchange.body.size,
             work = work,
+            fetchFrom = chosen.fetch?.from?.address,
         )
         val head = call.exchange.head
         wasSent = true
--- a/src/main/kotlin/org/persimmonrelay/forward/CallDialect.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/CallDialect.kt
@@ -39,7 +39,10 @@
     public data class RunFrom(val handle: KvHandle) : SendWork
 }
 
-/** What one send to a server says beside the caller's own headers. */
+/**
+ * What one send to a server says beside the caller's own headers. The server copies what the engine at [fetchFrom]
+ * keeps of the prompt before it reads the rest.
+ */
 public data class SendDetails(
     val instance: ServerInstance,
     val remaining: Duration,
@@ -48,6 +51,7 @@
     val lastEvent: Long?,
     val bodyBytes: Int,
     val work: SendWork = SendWork.Run,
+    val fetchFrom: ServerAddress? = null,
 )
 
 /** What a server's headers say of its answer. [isProven] when they carry the server's proof that it is its own. */
--- a/src/main/kotlin/org/persimmonrelay/forward/CallRun.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/CallRun.kt
@@ -69,7 +69,7 @@
     }
 
     private suspend fun attempt(chosen: Placement.Chosen, work: SendWork): AttemptEnd {
-        val ticket = parts.chooser.sent(chosen, call.work, call.engine)
+        val ticket = parts.chooser.sent(chosen, call.work, call.engine, clock.now())
         val attempt = Attempt(tools, call, chosen, progress, patience(chosen, work), work, ::began)
         trace.attempt(chosen, clock.now())
         try {
--- /dev/null
+++ b/src/main/kotlin/org/persimmonrelay/forward/EngineReports.kt
@@ -0,0 +1,22 @@
+package org.persimmonrelay.forward
+
+import org.persimmonrelay.backend.BackendServer
+import org.persimmonrelay.backend.KeptChanges
+import org.persimmonrelay.backend.KeptList
+import org.persimmonrelay.http.OutgoingRequest
+import kotlin.time.Duration
+
+/** Writes and reads the calls by which engines report what they keep of prompts. */
+public interface EngineReports {
+    /** Asks for changes behind the one numbered [after]; the engine waits up to [wait] for one. */
+    public fun askChanges(server: BackendServer, after: Long, wait: Duration): OutgoingRequest
+
+    /** The changes in the [body] of an answer; null when it can't be read. */
+    public fun changes(body: ByteArray): KeptChanges?
+
+    /** Asks for all that the engine keeps, which delays its work. */
+    public fun askAll(server: BackendServer): OutgoingRequest
+
+    /** The list in the [body] of an answer; null when it can't be read. */
+    public fun list(body: ByteArray): KeptList?
+}
--- a/src/main/kotlin/org/persimmonrelay/forward/ForwardEvent.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ForwardEvent.kt
@@ -12,5 +12,7 @@
     REQUEST_UNREADABLE(2705, "A request could not be read and was refused."),
     REQUEST_BROKE(2706, "A request met an unexpected error; report it with the fields."),
     REQUEST_LINES_DROPPED(2707, "So many requests ended that some have no line; the counters hold all of them."),
+    ENGINE_REPORTS_FOLLOWED(2709, "An engine reports what it keeps of prompts; requests are placed by that."),
+    ENGINE_REPORTS_LOST(2710, "An engine's reports fail; requests are placed by what this node sent it."),
     HANDLE_NOT_FREED(2708, "KV cache that nobody takes could not be freed; it expires by itself."),
 }
--- a/src/main/kotlin/org/persimmonrelay/forward/ForwardServer.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ForwardServer.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import kotlinx.coroutines.delay
+import org.persimmonrelay.backend.BackendServer
 import org.persimmonrelay.backend.RetryAllowance
 import org.persimmonrelay.backend.ServerChooser
 import org.persimmonrelay.http.CallerAnswer
@@ -21,7 +22,9 @@
 public class ForwardServer(private val parts: ForwardServerParts, private val thread: EventLoopThread) {
     private val connections = ServerConnections(HttpConnector(thread), parts.bounds::nodes)
     private val chooser = ServerChooser(parts.place)
-    private val releases = HandleReleases(thread.scope, connections, parts.dialect, parts.clock, parts.events)
+    private val calls = ServerCalls(connections, parts.clock)
+    private val releases = HandleReleases(thread.scope, calls, parts.dialect, parts.events)
+    private val engines = EngineWatch(thread.scope, calls, parts.reports, chooser, parts.clock, parts.events)
     private val log = RequestLog(parts.events, ForwardMetrics(parts.registry))
     private val answers = OwnAnswers(parts.dialect, log::unreadable)
     private val callers = server(parts.settings.callers, forwarder())
@@ -45,10 +48,17 @@
         return callers.start()
     }
 
-    /** Forgets what is known of servers that are gone. */
-    public fun forgetGone() {
-        chooser.retain(parts.directory.view)
-        connections.retain(parts.directory.view)
+    /** Follows the list of servers: forgets those that are gone, and listens to the engines among the others. */
+    public fun followServers() {
+        val view = parts.directory.view
+        chooser.retain(view)
+        connections.retain(view)
+        engines.follow(view.servers.mapNotNull(::watched))
+    }
+
+    private fun watched(server: BackendServer): WatchedEngine? {
+        val shape = parts.tables.current?.services?.get(server.service)?.engine ?: return null
+        return WatchedEngine(server, shape).takeIf { parts.bounds.mayWatch(server.instance.id, shape.watchers) }
     }
 
     /**
--- a/src/main/kotlin/org/persimmonrelay/forward/ForwardServerParts.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ForwardServerParts.kt
@@ -16,6 +16,7 @@
     public val tables: RouteTables,
     public val directory: BackendDirectory,
     public val dialect: CallDialect,
+    public val reports: EngineReports,
     public val usage: UsageMeter,
     public val bounds: ForwardBounds,
     public val clock: Clock,
--- a/src/main/kotlin/org/persimmonrelay/membership/Rendezvous.kt
+++ b/src/main/kotlin/org/persimmonrelay/membership/Rendezvous.kt
@@ -1,6 +1,7 @@
 package org.persimmonrelay.membership
 
 import com.google.common.hash.Hashing
+import org.persimmonrelay.identity.NodeId
 import org.persimmonrelay.identity.Region
 import org.persimmonrelay.identity.ServerId
 
@@ -19,8 +20,17 @@
     public fun best(key: String, candidates: Collection<Member>): Member? =
         candidates.map { Weighted(it, weight(key, it)) }.minWithOrNull(ORDER)?.member
 
-    private fun weight(key: String, member: Member): Long =
-        HASH.hashString("$key\u0000${member.address.node.value}", Charsets.UTF_8).asLong()
+    /** The [count] best of [nodes] for [key], best first. */
+    public fun pickNodes(key: String, nodes: Collection<NodeId>, count: Int): List<NodeId> {
+        if (count >= nodes.size) return nodes.toList()
+        return nodes.sortedWith(compareByDescending<NodeId> { weight(key, it) }.thenBy { it.value })
+            .take(count.coerceAtLeast(0))
+    }
+
+    private fun weight(key: String, member: Member): Long = weight(key, member.address.node)
+
+    private fun weight(key: String, node: NodeId): Long =
+        HASH.hashString("$key\u0000${node.value}", Charsets.UTF_8).asLong()
 
     private class Weighted(val member: Member, val weight: Long)
 
--- a/src/main/kotlin/org/persimmonrelay/node/RelayNode.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/RelayNode.kt
@@ -13,6 +13,8 @@
 import org.persimmonrelay.forward.ForwardServer
 import org.persimmonrelay.forward.ForwardServerParts
 import org.persimmonrelay.http.EventLoopThread
+import org.persimmonrelay.identity.ServerId
+import org.persimmonrelay.membership.Rendezvous
 import org.persimmonrelay.platform.FeedTable
 import org.persimmonrelay.platform.RowFollower
 import org.persimmonrelay.platform.RowListener
@@ -51,6 +53,7 @@
                 tables = tables,
                 directory = directory,
                 dialect = ports.dialect,
+                reports = ports.reports,
                 usage = duties.usageMeter,
                 bounds = forwardBounds(),
                 clock = clock,
@@ -95,7 +98,7 @@
         while (true) {
             delay(HOUSEKEEPING)
             clock.now().let { directory.expireLapsed(health.mayHaveLapsed(it), it) }
-            withContext(traffic.dispatcher) { server.forgetGone() }
+            withContext(traffic.dispatcher) { server.followServers() }
         }
     }
 
@@ -110,9 +113,14 @@
         override fun keyBound() = settings.bounds.keyBound
 
         override fun nodes() = duties.membership.live.size
+
+        override fun mayWatch(server: ServerId, watchers: Int) =
+            settings.node in Rendezvous.pickNodes(server.value, duties.membership.live, watchers - SPARE_WATCHERS)
     }
 
     private companion object {
+        /** Places at each engine that are left to nodes which see other nodes than this one does. */
+        const val SPARE_WATCHERS = 2
         val HOUSEKEEPING = 250.milliseconds
         val READY_CHECK = 20.milliseconds
     }
--- a/src/main/kotlin/org/persimmonrelay/node/RelayPorts.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/RelayPorts.kt
@@ -3,6 +3,7 @@
 import org.persimmonrelay.backend.BackendServer
 import org.persimmonrelay.clock.SharedWallClock
 import org.persimmonrelay.forward.CallDialect
+import org.persimmonrelay.forward.EngineReports
 import org.persimmonrelay.platform.FeedRow
 import org.persimmonrelay.platform.RowFeed
 import org.persimmonrelay.platform.TableService
@@ -27,5 +28,6 @@
     public val usage: UsageReports?,
     public val scale: ScaleOrders?,
     public val dialect: CallDialect,
+    public val reports: EngineReports,
     public val wallClock: SharedWallClock,
 )
--- /dev/null
+++ b/src/test/kotlin/org/persimmonrelay/adapter/EngineReportCodecTest.kt
@@ -0,0 +1,49 @@
+package org.persimmonrelay.adapter
+
+import org.persimmonrelay.backend.BackendServers
+import org.persimmonrelay.backend.KeptChanges
+import org.persimmonrelay.backend.KeptList
+import org.persimmonrelay.backend.KeptPart
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.time.Duration.Companion.seconds
+
+class EngineReportCodecTest {
+    private val codec = EngineReportCodec()
+
+    @Test
+    fun `changes are read with their place and their gap`() {
+        val body = """{"epoch":7,"next":12,"lost":true,
+            "events":[[10,"+","","5c1e07a2",800,"m"],[11,"-","","91bd3f06",0,"m"],["odd"],5]}"""
+
+        assertEquals(
+            KeptChanges("7", 12, isIncomplete = true, listOf(KeptPart("5c1e07a2", 800), KeptPart("91bd3f06", 0))),
+            codec.changes(body.encodeToByteArray()),
+        )
+    }
+
+    @Test
+    fun `a whole list is read`() {
+        val body = """{"epoch":"e1","next":3,"held":[["","5c1e07a2",800,"m"]]}"""
+
+        assertEquals(KeptList("e1", 3, listOf(KeptPart("5c1e07a2", 800))), codec.list(body.encodeToByteArray()))
+    }
+
+    @Test
+    fun `an answer that is no report gives nothing`() {
+        listOf("", "[]", "{}", """{"epoch":1}""", "<html>").forEach {
+            assertNull(codec.changes(it.encodeToByteArray()), it)
+            assertNull(codec.list(it.encodeToByteArray()), it)
+        }
+    }
+
+    @Test
+    fun `a question for changes names the server that is meant and how long to wait`() {
+        val call = codec.askChanges(BackendServers.server("i-1"), after = 5, wait = 1.seconds)
+
+        assertEquals("/api/kv-events?since=5", call.target)
+        assertEquals("1000", call.headers["Wait-Ms"])
+        assertEquals("i-1", call.headers["Expect-Instance"])
+    }
+}
--- a/src/test/kotlin/org/persimmonrelay/backend/ServerChooserTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/backend/ServerChooserTest.kt
@@ -48,7 +48,7 @@
     fun `a reader with much unread work is passed over`() {
         val servers = List(2) { server("p$it", EngineStage.PREFILL) } + server("d0")
         val first = assertIs<Placement.Split>(choose(prompt("history", 0), servers)).prefill
-        repeat(6) { chooser.sent(first.copy(tokensToRead = 17_000), prompt("history", it), SHAPE) }
+        repeat(6) { chooser.sent(first.copy(tokensToRead = 17_000), prompt("history", it), SHAPE, now) }
 
         val next = assertIs<Placement.Split>(choose(prompt("history", 9), servers)).prefill
 
@@ -69,7 +69,7 @@
         val servers = listOf(server("a", stage = null, slots = 6), server("b", stage = null, slots = 6))
         val plain = WorkRequest(ENGINES)
         val first = assertIs<Placement.Chosen>(choose(plain, servers))
-        repeat(3) { chooser.sent(first, plain, null).failed(now) }
+        repeat(3) { chooser.sent(first, plain, null, now).failed(now) }
 
         assertNotEquals(first.server, assertIs<Placement.Chosen>(choose(plain, servers)).server)
 
@@ -82,7 +82,7 @@
         val servers = listOf(server("d0"))
         repeat(20) {
             val chosen = Placement.Chosen(servers[0], 1.seconds, 20_000)
-            chooser.sent(chosen, prompt("history", it), SHAPE)
+            chooser.sent(chosen, prompt("history", it), SHAPE, now)
         }
 
         val refused = assertIs<Placement.Refused>(choose(prompt("other", 1), servers, latest = 1.seconds))
@@ -115,7 +115,7 @@
         PlacementQuery(request, latest, emptySet(), now)
 
     private fun finish(chosen: Placement.Chosen, request: WorkRequest, took: Duration) {
-        val ticket = chooser.sent(chosen, request, SHAPE)
+        val ticket = chooser.sent(chosen, request, SHAPE, now)
         now += took
         ticket.firstAnswer(took, now)
         ticket.succeeded()
--- /dev/null
+++ b/src/test/kotlin/org/persimmonrelay/backend/SharedPromptPlacementTest.kt
@@ -0,0 +1,93 @@
+package org.persimmonrelay.backend
+
+import org.persimmonrelay.backend.BackendServers.ENGINES
+import org.persimmonrelay.backend.BackendServers.PLACE
+import org.persimmonrelay.backend.BackendServers.SHAPE
+import org.persimmonrelay.backend.BackendServers.server
+import org.persimmonrelay.clock.Moment
+import org.persimmonrelay.route.EngineShape
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * The load of shared histories: many requests begin with one of a few hundred long parts, which the engines of all
+ * nodes together have read already.
+ */
+class SharedPromptPlacementTest {
+    private val chooser = ServerChooser(PLACE)
+    private val now = Moment.ZERO
+    private val shape = SHAPE.copy(tokenBytes = 131_072, linkMbps = 1_600_000.0)
+    private val shared = PromptPart("history", 13_300)
+
+    @Test
+    fun `a request goes where other nodes had its shared part read`() {
+        val readers = List(4) { server("p$it", EngineStage.PREFILL) }
+        reports(readers[2], shared)
+        readers.filter { it != readers[2] }.forEach { reports(it) }
+
+        val split = assertIs<Placement.Split>(choose(readers + server("d0")))
+
+        assertEquals(readers[2], split.prefill.server)
+        assertEquals(OWN_TOKENS, split.prefill.tokensToRead)
+        assertNull(split.prefill.fetch)
+    }
+
+    @Test
+    fun `the shared part is copied from a busy engine, not read again`() {
+        val readers = List(2) { server("p$it", EngineStage.PREFILL) }
+        readers.forEach { reports(it) }
+        reports(readers[0], shared)
+        repeat(8) { chooser.sent(Placement.Chosen(readers[0], 1.seconds, 17_000), other(it), shape, now) }
+
+        val prefill = assertIs<Placement.Split>(choose(readers + server("d0"))).prefill
+
+        assertEquals(readers[1], prefill.server)
+        assertEquals(OWN_TOKENS, prefill.tokensToRead)
+        assertEquals(readers[0], assertNotNull(prefill.fetch).from)
+        assertEquals(shared.tokens, prefill.fetch.tokens)
+    }
+
+    @Test
+    fun `a copy over a slow link between regions is left alone where reading is as quick`() {
+        val slow = shape.copy(linkMbps = 50_000.0)
+        val far = server("far", domain = "inland-a")
+        val near = server("near")
+        reports(far, shared)
+        reports(near)
+
+        val chosen = assertIs<Placement.Chosen>(choose(listOf(near), slow, listOf(far)))
+
+        assertNull(chosen.fetch)
+        assertTrue(chosen.tokensToRead > shared.tokens)
+    }
+
+    private fun reports(engine: BackendServer, vararg parts: PromptPart) {
+        val kept = parts.map { KeptPart(it.id, it.tokens) }
+        chooser.keptChanged(engine, shape, KeptChanges("e", 1, isIncomplete = false, kept), now)
+    }
+
+    private fun choose(
+        servers: List<BackendServer>,
+        engine: EngineShape = shape,
+        busy: List<BackendServer> = emptyList(),
+    ): Placement {
+        busy.forEach {
+            repeat(40) { n -> chooser.sent(Placement.Chosen(it, 1.seconds, 17_000), other(n), engine, now) }
+        }
+        return chooser.choose(PlacementQuery(request(), 4.seconds, emptySet(), now), servers + busy, engine)
+    }
+
+    private fun request() =
+        WorkRequest(ENGINES, listOf(shared, PromptPart("own", OWN_TOKENS)), shared.tokens + OWN_TOKENS, 13)
+
+    private fun other(number: Int) = WorkRequest(ENGINES, listOf(PromptPart("other-$number", 17_000)), 17_000, 13)
+
+    private companion object {
+        const val OWN_TOKENS = 3_720
+    }
+}
--- a/src/test/kotlin/org/persimmonrelay/forward/ForwardFixture.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/ForwardFixture.kt
@@ -2,8 +2,11 @@
 
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeout
+import org.persimmonrelay.adapter.EngineReportCodec
 import org.persimmonrelay.adapter.HeaderDialect
 import org.persimmonrelay.backend.BackendDirectory
 import org.persimmonrelay.backend.BackendServer
@@ -71,6 +74,7 @@
                 tables = tables,
                 directory = directory,
                 dialect = HeaderDialect(),
+                reports = EngineReportCodec(),
                 usage = object : UsageMeter {
                     override fun record(workspace: WorkspaceId, promptTokens: Long, outputTokens: Long) {
                         usage += workspace
@@ -82,6 +86,8 @@
                     override fun keyBound() = null
 
                     override fun nodes() = 1
+
+                    override fun mayWatch(server: ServerId, watchers: Int) = true
                 },
                 clock = SystemClock,
                 events = { code, fields -> recorded += code to fields.toList() },
@@ -126,6 +132,19 @@
             address = ServerAddress("127.0.0.1", server.port),
         )
 
+    /** Follows the engines among the servers, and returns when [count] of them have reported. */
+    fun followEngines(count: Int) {
+        runBlocking { withContext(thread.dispatcher) { server.followServers() } }
+        awaitEvents(ForwardEvent.ENGINE_REPORTS_FOLLOWED, count)
+    }
+
+    /** Waits until [code] has been recorded [count] times. */
+    fun awaitEvents(code: EventCode, count: Int) = runBlocking {
+        withTimeout(READ_TIMEOUT_MILLIS.milliseconds) {
+            while (recorded.count { it.first == code } < count) delay(POLL)
+        }
+    }
+
     fun connect() = Socket("127.0.0.1", port).apply { soTimeout = READ_TIMEOUT_MILLIS }
 
     /** Sends [text] on a connection of its own and returns all that comes back until it ends. */
@@ -152,6 +171,7 @@
 
     companion object {
         const val RESET = "<reset>"
+        private val POLL = 5.milliseconds
         private const val READ_TIMEOUT_MILLIS = 10_000
 
         fun request(id: String, method: String = "POST", body: String = "hello", vararg more: String): String {
