Wait for a silent node's usage, and join segments that are too many

Two faults of closing windows. And a transaction takes 46 segments, so a window of more nodes left the rest to later windows, which this platform does not take.

Each node now stores with its segments up to when it has counted; a window waits, within bounds, for nodes that ran lately. Segments beyond what one transaction takes are joined first, under the lease.

Tests: three in WindowCloserTest (a cut node, an ended node, 72 counts in segments of four a transaction).

--- a/src/main/kotlin/org/persimmonrelay/usage/UsageRecorder.kt
+++ b/src/main/kotlin/org/persimmonrelay/usage/UsageRecorder.kt
@@ -36,6 +36,7 @@
     private val flushing = Mutex()
     private var sequence = 0L
     private var writerVersion = 0L
+    private var countedThrough = 0L
 
     override fun record(workspace: WorkspaceId, promptTokens: Long, outputTokens: Long) {
         accumulator.record(windowOf(clock.wallMillis()), workspace, promptTokens, outputTokens)
@@ -53,12 +54,14 @@
 
     /** Stores everything counted so far; false when the store did not take all of it. A leaving node calls it last. */
     public suspend fun flush(): Boolean = flushing.withLock {
+        val now = clock.wallMillis()
         cutSegments()
         while (waiting.isNotEmpty()) {
-            if (!store(waiting.first())) return@withLock false
+            val isLast = waiting.size == 1
+            if (!store(waiting.first(), if (isLast) now else countedThrough)) return@withLock false
             waiting.removeFirst()
         }
-        true
+        countedThrough >= windowOf(now) || tellNothingCounted(now)
     }
 
     /** What was counted since the last cut becomes a segment for each window that it began in. */
@@ -79,25 +82,30 @@
         return true
     }
 
-    private suspend fun store(segment: Segment): Boolean {
+    private suspend fun store(segment: Segment, through: Long): Boolean {
+        val operation = OperationId("usage-${incarnation.value}-${segment.sequence}")
+        return write(operation, through, Write.Put(keys.segment(segment), segment.encode()))
+    }
+
+    /** Whoever closes a window then need not wait for this node. */
+    private suspend fun tellNothingCounted(through: Long): Boolean =
+        write(OperationId("usage-${incarnation.value}-none-$through"), through)
+
+    private suspend fun write(operation: OperationId, through: Long, vararg more: Write): Boolean {
         val writer = keys.writer(incarnation)
         val condition =
             if (writerVersion == 0L) Condition.Absent(writer) else Condition.VersionIs(writer, writerVersion)
-        val transaction = Transaction(
-            operation = OperationId("usage-${incarnation.value}-${segment.sequence}"),
-            conditions = listOf(condition),
-            writes = listOf(
-                Write.Put(writer, segment.sequence.toString()),
-                Write.Put(keys.segment(segment), segment.encode()),
-            ),
-        )
+        val row = WriterRow(sequence, through)
+        val transaction = Transaction(operation, listOf(condition), listOf(Write.Put(writer, row.encode())) + more)
         val stored = when (val outcome = table.commit(transaction)) {
             is CommitOutcome.Committed -> true
             is CommitOutcome.Conflict -> outcome.current.any { it.operation == transaction.operation }
             is CommitOutcome.NotSent, is CommitOutcome.Unknown -> false
         }
-        if (stored) writerVersion++
-        return stored
+        if (!stored) return false
+        writerVersion++
+        countedThrough = through
+        return true
     }
 
     private fun windowOf(wallMillis: Long): Long =
--- a/src/main/kotlin/org/persimmonrelay/usage/UsageRows.kt
+++ b/src/main/kotlin/org/persimmonrelay/usage/UsageRows.kt
@@ -1,7 +1,8 @@
 /*
  * Rows of metering. A segment is what one node counted between two flushes, with the window it belongs to. The
- * writer row of a node's incarnation holds the number of its last segment; each segment is written in one
- * transaction with it, so that a repeated write can't bring back a segment that was already consumed. A window
+ * writer row of a node's incarnation holds the number of its last segment and the time up to which its segments hold
+ * all that it counted; each segment is written in one transaction with it, so that a repeated write can't bring back
+ * a segment that was already consumed. A window
  * row holds the bytes to be reported and never changes; closing a window removes its segments in the same
  * transaction, so that each counts exactly once.
  */
@@ -37,6 +38,19 @@
     }
 }
 
+/**
+ * The last segment of one incarnation. All that it counted up to [countedThrough], in milliseconds since the Unix
+ * epoch, is in segments up to that one.
+ */
+@Serializable
+internal data class WriterRow(val sequence: Long, val countedThrough: Long) {
+    fun encode(): String = Json.encodeToString(serializer(), this)
+
+    companion object {
+        fun decode(value: String): WriterRow = Json.decodeFromString(serializer(), value)
+    }
+}
+
 /** The figures of a closed window: [body] is reported byte for byte. */
 @Serializable
 internal data class WindowRow(val window: String, val epoch: Long, val body: String) {
@@ -61,7 +75,9 @@
     val segments: String = "usage/segment/$shard/"
     val pending: String = "usage/pending/$shard/"
 
-    fun writer(incarnation: Incarnation): String = "usage/writer/${incarnation.value}"
+    val writers: String = "usage/writer/$shard/"
+
+    fun writer(incarnation: Incarnation): String = writers + incarnation.value
 
     fun segment(segment: Segment): String =
         segments + segment.incarnation.value + "/" + segment.sequence.toString().padStart(SEQUENCE_DIGITS, '0')
--- a/src/main/kotlin/org/persimmonrelay/usage/WindowCloser.kt
+++ b/src/main/kotlin/org/persimmonrelay/usage/WindowCloser.kt
@@ -37,6 +37,7 @@
 ) {
     private val duty = Duty.usage(shard)
     private val keys = UsageKeys(shard)
+    private val merger = SegmentMerger(table, duty, keys, settings.maxSegmentsPerWindow, newOperation)
 
     /** Competes for the duty and works whenever this node holds it, until [scope] ends. */
     public fun start(scope: CoroutineScope) {
@@ -57,12 +58,25 @@
     }
 
     private suspend fun closeDue(tenure: Tenure) {
-        val rows = table.scan(keys.segments).getOrNull() ?: return
-        val segments = rows.map(StoredSegment::of)
-        val dueBefore = clock.wallMillis() - settings.grace.inWholeMilliseconds
+        val dueBefore = dueBefore(clock.wallMillis()) ?: return
+        val read = segments() ?: return
+        val segments = if (merger.merge(tenure, read)) segments() ?: return else read
         val closed = closedWindows(segments, dueBefore) ?: return
         planWindows(segments, { it in closed }, dueBefore, settings.window.inWholeMilliseconds)
-            .forEach { close(tenure, it.copy(segments = it.segments.take(settings.maxSegmentsPerWindow))) }
+            .mapNotNull { it.limitedTo(settings.maxSegmentsPerWindow) }
+            .forEach { close(tenure, it) }
+    }
+
+    private suspend fun segments(): List<StoredSegment>? = table.scan(keys.segments).getOrNull()?.map(StoredSegment::of)
+
+    /** Windows that ended before this time, in milliseconds since the Unix epoch, are due; null when unknown. */
+    private suspend fun dueBefore(now: Long): Long? {
+        val usual = now - settings.grace.inWholeMilliseconds
+        if (settings.longestGrace <= settings.grace) return usual
+        val writers = table.scan(keys.writers).getOrNull() ?: return null
+        val forgetAfter = (settings.longestGrace + settings.window).inWholeMilliseconds
+        val heard = heardThrough(writers.map { WriterRow.decode(it.value) }, now, forgetAfter) ?: return usual
+        return minOf(usual, maxOf(heard, now - settings.longestGrace.inWholeMilliseconds))
     }
 
     /** Those of the windows in question that are fixed; null when the store does not answer. */
--- a/src/main/kotlin/org/persimmonrelay/usage/WindowPlan.kt
+++ b/src/main/kotlin/org/persimmonrelay/usage/WindowPlan.kt
@@ -12,6 +12,12 @@
 
 /** A window to be closed with the segments that go into it, late ones of earlier windows included. */
 internal data class WindowPlan(val windowStart: Long, val segments: List<StoredSegment>) {
+    /** The same with at most [most] segments, its own before late ones; null when its own are more. */
+    fun limitedTo(most: Int): WindowPlan? {
+        val (own, late) = segments.partition { it.segment.windowStart == windowStart }
+        return copy(segments = (own + late).take(most)).takeIf { own.size <= most }
+    }
+
     /** The reports, in an order that depends on the figures alone. */
     fun reports(window: String, nameOf: (Long) -> String): List<UsageReport> = segments
         .groupBy { it.segment.windowStart }
--- a/src/test/kotlin/org/persimmonrelay/usage/WindowCloserTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/usage/WindowCloserTest.kt
@@ -11,6 +11,7 @@
 import org.persimmonrelay.lease.LeaseManager
 import org.persimmonrelay.platform.ReliableTable
 import org.persimmonrelay.platform.SchedulerClock
+import org.persimmonrelay.platform.TableService
 import org.persimmonrelay.standin.StandInTable
 import org.persimmonrelay.standin.StandInUsageReports
 import kotlin.random.Random
@@ -18,6 +19,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
 
 class WindowCloserTest {
     private val service = StandInTable()
@@ -54,10 +56,65 @@
         assertEquals(emptySet(), reports.contradicted)
     }
 
+    @Test
+    fun `a window waits for the counts of a node that is cut off from the store`() = runTest {
+        val settings = UsageSettings(longestGrace = 4.minutes)
+        node(settings)
+        val cutOff = CutTable(service)
+        val recorder = recorder("b-1", cutOff, settings)
+        delay(2.minutes)
+        recorder.record(WORKSPACE, promptTokens = 7, outputTokens = 0)
+        cutOff.isCut = true
+        delay(5.minutes)
+        assertEquals(0, reports.taken.sumOf { promptTokens(it.body) })
+
+        cutOff.isCut = false
+        delay(2.minutes)
+
+        assertEquals(7, reports.taken.sumOf { promptTokens(it.body) })
+        assertTrue(reports.taken.none { "adjustmentOf" in it.body })
+    }
+
+    @Test
+    fun `a window does not wait for a node that has ended`() = runTest {
+        val settings = UsageSettings(longestGrace = 4.minutes)
+        val meter = node(settings)
+        val cutOff = CutTable(service)
+        recorder("b-1", cutOff, settings)
+        delay(2.minutes)
+        cutOff.isCut = true
+        meter.record(WORKSPACE, promptTokens = 7, outputTokens = 0)
+        delay(9.minutes)
+
+        assertEquals(7, reports.taken.sumOf { promptTokens(it.body) })
+    }
+
+    @Test
+    fun `segments that are too many for one transaction are joined, and each counts once`() = runTest {
+        val settings = UsageSettings(maxSegmentsPerWindow = 4)
+        node(settings)
+        val meters = List(9) { recorder("n$it-1", service, settings) }
+        repeat(8) {
+            meters.forEach { meter -> meter.record(WORKSPACE, promptTokens = 1, outputTokens = 0) }
+            delay(30.seconds)
+        }
+        delay(10.minutes)
+
+        assertEquals(72, reports.taken.sumOf { promptTokens(it.body) })
+        assertTrue(reports.taken.none { "adjustmentOf\":\"" in it.body })
+    }
+
     private fun promptTokens(body: String): Int =
         Regex("\"promptTokens\":(\\d+)").findAll(body).sumOf { it.groupValues[1].toInt() }
 
-    private fun TestScope.node(): UsageMeter {
+    private fun TestScope.recorder(incarnation: String, service: TableService, settings: UsageSettings): UsageMeter {
+        val clock = SchedulerClock(this)
+        val table = ReliableTable(service, clock, Random(2))
+        return UsageRecorder(table, clock, Incarnation(incarnation), settings = settings)
+            .apply { start(backgroundScope) }
+    }
+
+    private fun TestScope.node(settings: UsageSettings = UsageSettings()): UsageMeter {
         val clock = SchedulerClock(this)
         val table = ReliableTable(service, clock, Random(1))
         val newOperation = { OperationId("op-${operations++}") }
@@ -71,8 +128,8 @@
             liveNodes = { NODES },
             newOperation = newOperation,
         )
-        WindowCloser(table, reports, leases, clock, shard = 0, newOperation).start(backgroundScope)
-        return UsageRecorder(table, clock, incarnation).apply { start(backgroundScope) }
+        WindowCloser(table, reports, leases, clock, shard = 0, newOperation, settings = settings).start(backgroundScope)
+        return recorder(incarnation.value, service, settings)
     }
 
     private companion object {
