--- a/src/main/kotlin/org/persimmonrelay/cli/RelayCommand.kt
+++ b/src/main/kotlin/org/persimmonrelay/cli/RelayCommand.kt
@@ -3,13 +3,15 @@
 import arrow.core.getOrElse
 import org.kohsuke.args4j.Option
 import org.persimmonrelay.adapter.PlatformNode
+import org.persimmonrelay.adapter.Rehearsal
 import sun.misc.Signal
 import java.io.File
 import java.io.PrintStream
 
 /**
- * `relay [--settings FILE]`: runs a forwarding node on the users' platform until SIGTERM or SIGINT, then leaves
- * gracefully. SIGHUP has it read its settings again.
+ * `relay [--settings FILE | --rehearse]`: runs a forwarding node on the users' platform until SIGTERM or SIGINT, then
+ * leaves gracefully. SIGHUP has it read its settings again. With `--rehearse` it serves a few requests on loopback
+ * before a stand-in of the platform and ends.
  */
 internal class RelayCommand : Command {
     @Option(
@@ -19,7 +21,11 @@
     )
     private var file: File? = null
 
+    @Option(name = "--rehearse", usage = "serve a few requests on loopback, without the platform, and end")
+    private var rehearses = false
+
     override fun run(out: PrintStream, err: PrintStream): Int {
+        if (rehearses) return rehearse(out)
         val path = file ?: System.getenv(SETTINGS_VARIABLE)?.let(::File)
         if (path == null) {
             err.println("No settings are named; give --settings FILE or set $SETTINGS_VARIABLE.")
@@ -35,7 +41,14 @@
         return ExitCode.OK
     }
 
+    private fun rehearse(out: PrintStream): Int {
+        val served = Rehearsal(REHEARSED_REQUESTS).run()
+        out.println("Served $served of $REHEARSED_REQUESTS requests.")
+        return if (served == REHEARSED_REQUESTS) ExitCode.OK else ExitCode.FAILED
+    }
+
     private companion object {
+        const val REHEARSED_REQUESTS = 20
         const val SETTINGS_VARIABLE = "PERSIMMONRELAY_NODE_FILE"
     }
 }
--- /dev/null
+++ b/src/test/kotlin/org/persimmonrelay/adapter/RehearsalTest.kt
@@ -0,0 +1,11 @@
+package org.persimmonrelay.adapter
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class RehearsalTest {
+    @Test
+    fun `a node serves all requests of a rehearsal and ends`() {
+        assertEquals(5, Rehearsal(requests = 5).run())
+    }
+}
