Exchange loads between nodes, and read prompts where no stream waits for it

Each node knew only its own sixth of an engine's load.

What a server that makes tokens reads between its streams' tokens used to cost 70 us a token. It now costs 1.5 times its own length up to what fits into a pause's target, and 5 times beyond.

--- a/src/main/kotlin/org/persimmonrelay/backend/Placement.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/Placement.kt
@@ -31,7 +31,8 @@
 
 /**
  * What a choice is made for: [request], to begin before [latestStart], at none of [excluded], decided at [now].
- * [maySplit] allows to read its prompt at another server than the one that makes its tokens.
+ * [maySplit] allows to read its prompt at another server than the one that makes its tokens. [pauseTarget] is the
+ * longest pause for which streams like it are on time.
  */
 public data class PlacementQuery(
     val request: WorkRequest,
@@ -39,4 +40,5 @@
     val excluded: Set<ServerInstance>,
     val now: Moment,
     val maySplit: Boolean = true,
+    val pauseTarget: Duration? = null,
 )
--- a/src/main/kotlin/org/persimmonrelay/backend/ServerChooser.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/ServerChooser.kt
@@ -2,6 +2,7 @@
 
 import org.persimmonrelay.clock.Moment
 import org.persimmonrelay.identity.FailureDomain
+import org.persimmonrelay.identity.NodeId
 import org.persimmonrelay.identity.ServerId
 import org.persimmonrelay.route.EngineShape
 import org.persimmonrelay.route.ServiceId
@@ -18,6 +19,7 @@
  */
 public class ServerChooser(private val place: NodePlace) {
     private val loads = HashMap<ServerInstance, ServerLoad>()
+    private val others = OtherNodesWork()
     private val models = HashMap<Pair<ServiceId, EngineStage?>, FirstAnswerModel>()
 
     /** Chooses among [servers], which are those of the request's service that may get new requests. */
@@ -55,7 +57,13 @@
         load.started(chosen.tokensToRead)
         if (request.isPrompted) load.memory.read(request.prompt, now)
         val learns = request.isPrompted && chosen.tokensToRead > 0
-        return ServerTicket(load, model(request.service, chosen.server.stage), chosen, load.tokensAhead, learns)
+        return ServerTicket(
+            load,
+            model(request.service, chosen.server.stage),
+            chosen,
+            tokensAhead(load, chosen.server, now),
+            learns,
+        )
     }
 
     /** The engine [server] reported what changed in what it keeps. */
@@ -66,6 +74,14 @@
     public fun keptListed(server: BackendServer, engine: EngineShape?, list: KeptList, now: Moment): Unit =
         load(server, engine).memory.replaced(list, now)
 
+    /** What this node has under way at servers. */
+    public fun work(): List<ServerWork> = loads.filterValues { it.running > 0 }.map { (instance, load) ->
+        ServerWork(instance.id, instance.startedAtMillis, load.running, load.tokensAhead)
+    }
+
+    /** The node [node] told that it has [work] under way, and no other. */
+    public fun otherWork(node: NodeId, work: List<ServerWork>, now: Moment): Unit = others.told(node, work, now)
+
     /** Forgets what is known of servers that are not in [view]. */
     public fun retain(view: BackendView) {
         loads.keys.retainAll { it in view }
@@ -114,6 +130,9 @@
         return PromptHolders(place.regions, engine, kept)
     }
 
+    private fun tokensAhead(load: ServerLoad, server: BackendServer, now: Moment) =
+        load.tokensAhead + others.tokensAhead(server.instance, now)
+
     private fun kept(server: BackendServer, prompt: List<PromptPart>, engine: EngineShape?, now: Moment): Int =
         load(server, engine).memory.kept(prompt, now)
 
@@ -159,26 +178,40 @@
         val own = if (reads) ownTokens(request, load, keeps, query.now) else 0
         val fetch = if (reads) holders?.fetchFor(server, own, model.perToken.milliseconds) else null
         val kept = own + (fetch?.tokens ?: 0)
+        val ahead = tokensAhead(load, server, query.now)
+        val running = load.running + others.running(server.instance, query.now)
         val toRead = if (reads) (request.promptTokens - kept).coerceAtLeast(1) else 0
         val time = when {
-            reads -> model.expected((load.tokensAhead + toRead).toDouble()) + (fetch?.takes ?: ZERO)
+            reads -> model.expected((ahead + toRead).toDouble()) + (fetch?.takes ?: ZERO)
             request.isPrompted -> HANDOVER
-            else -> queueing(server, load)
+            else -> queueing(server, running)
         }
         val expected = time + load.delay(query.now)
         val reread = (request.sharedTokens - (request.promptTokens - toRead)).coerceAtLeast(0)
         val burden = when (work) {
-            Work.WHOLE -> REREAD_PER_TOKEN * reread + DISTURBANCE_PER_TOKEN * toRead + CROWD * load.running
+            Work.WHOLE ->
+                REREAD_PER_TOKEN * reread + CROWD * running +
+                    disturbance(ahead, toRead, model.perToken.milliseconds, query.pauseTarget)
             Work.READ -> REREAD_PER_TOKEN * reread
-            Work.MAKE -> CROWD * load.running
+            Work.MAKE -> CROWD * running
         }
         val spread = SPREAD * Math.floorMod(rank(request.seed.toString(), server.instance.id), SPREAD_STEPS)
         val cost = expected + burden + spread + load.risk + place.distance(server.domain)
         return Option(server, expected, cost, toRead, fetch)
     }
 
-    private fun queueing(server: BackendServer, load: ServerLoad): Duration {
-        val over = load.running + 1 - server.slots
+    /**
+     * Engines read prompts in chunks between the tokens of running streams. What is read there within one pause delays
+     * these streams a little; what is beyond makes them late.
+     */
+    private fun disturbance(ahead: Int, toRead: Int, perToken: Duration, pauseTarget: Duration?): Duration {
+        val unnoticed = ((pauseTarget ?: DEFAULT_PAUSE) * UNNOTICED_SHARE / perToken).toInt()
+        val late = (ahead + toRead - unnoticed).coerceIn(0, toRead)
+        return perToken * (toRead - late) * LIGHT_DISTURBANCE + perToken * late * HEAVY_DISTURBANCE
+    }
+
+    private fun queueing(server: BackendServer, running: Int): Duration {
+        val over = running + 1 - server.slots
         return if (over <= 0) ZERO else PLAIN_SERVICE_TIME * over / server.slots.coerceAtLeast(1)
     }
 
@@ -218,8 +251,13 @@
         /** From the end of reading to the first token elsewhere. */
         val HANDOVER = 25.milliseconds
 
-        /** Reading on a server that makes tokens holds up the streams that run there. */
-        val DISTURBANCE_PER_TOKEN = 70.microseconds
+        /** Part of a pause that may go to reading, beside the steps that make the tokens. */
+        const val UNNOTICED_SHARE = 0.45
+        val DEFAULT_PAUSE = 250.milliseconds
+
+        /** Cost of reading at a server that makes tokens, in times of its own length. */
+        const val LIGHT_DISTURBANCE = 1.5
+        const val HEAVY_DISTURBANCE = 5.0
         const val LEAST_SPLIT_TOKENS = 256
         val SPREAD = 1.milliseconds
         const val SPREAD_STEPS = 4
--- a/src/main/kotlin/org/persimmonrelay/forward/CallRun.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/CallRun.kt
@@ -43,7 +43,8 @@
 
     private fun query(now: Moment): PlacementQuery {
         val latest = (call.deadline - now) * LATEST_START_SHARE
-        return PlacementQuery(call.work, latest, excluded, now, maySplit)
+        val pauseTarget = (call.route.kind as? RouteKind.Streaming)?.pauseTarget
+        return PlacementQuery(call.work, latest, excluded, now, maySplit, pauseTarget)
     }
 
     private fun place(now: Moment): Placement = parts.chooser.choose(query(now), servers(), call.engine)
--- a/src/main/kotlin/org/persimmonrelay/forward/ForwardServer.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ForwardServer.kt
@@ -21,7 +21,9 @@
 /** The face for callers with the addresses for readiness and metrics. Confined to [thread], the traffic thread. */
 public class ForwardServer(private val parts: ForwardServerParts, private val thread: EventLoopThread) {
     private val connections = ServerConnections(HttpConnector(thread), parts.bounds::nodes)
-    private val chooser = ServerChooser(parts.place)
+
+    /** Decides which server gets a request; its calls belong to [thread]. */
+    public val chooser: ServerChooser = ServerChooser(parts.place)
     private val calls = ServerCalls(connections, parts.clock)
     private val releases = HandleReleases(thread.scope, calls, parts.dialect, parts.events)
     private val engines = EngineWatch(thread.scope, calls, parts.reports, chooser, parts.clock, parts.events)
--- a/src/main/kotlin/org/persimmonrelay/membership/StoredMembership.kt
+++ b/src/main/kotlin/org/persimmonrelay/membership/StoredMembership.kt
@@ -6,6 +6,8 @@
 import kotlinx.serialization.json.Json
 import org.persimmonrelay.clock.Clock
 import org.persimmonrelay.clock.Moment
+import org.persimmonrelay.http.ServerAddress
+import org.persimmonrelay.identity.FailureDomain
 import org.persimmonrelay.identity.Incarnation
 import org.persimmonrelay.identity.NodeId
 import org.persimmonrelay.identity.OperationId
@@ -24,7 +26,7 @@
  */
 public class StoredMembership(
     private val table: ReliableTable,
-    private val self: NodeId,
+    private val self: NodePeer,
     private val incarnation: Incarnation,
     private val clock: Clock,
     private val newOperation: () -> OperationId,
@@ -35,13 +37,29 @@
 
     /** Nodes that run, this one included; the same list while nothing changes. */
     @Volatile
-    public var live: List<NodeId> = listOf(self)
+    public var live: List<NodeId> = listOf(self.node)
+        private set
+
+    /** The other nodes that run and say where they take datagrams. */
+    @Volatile
+    public var peers: List<NodePeer> = emptyList()
         private set
 
     private data class Seen(val row: NodeRow, val changedAt: Moment)
 
     @Serializable
-    private data class NodeRow(val node: NodeId, val incarnation: Incarnation, val beat: Long)
+    private data class NodeRow(
+        val node: NodeId,
+        val incarnation: Incarnation,
+        val beat: Long,
+        val domain: FailureDomain? = null,
+        val address: String? = null,
+    ) {
+        fun toPeer(): NodePeer? {
+            val at = address?.let(ServerAddress::parse) ?: return null
+            return NodePeer(node, domain ?: return null, at)
+        }
+    }
 
     /** Tells of this node and watches the others until it is cancelled. */
     public suspend fun run() {
@@ -54,12 +72,12 @@
 
     /** Removes this node's row, so that the others need not wait for its silence. */
     public suspend fun leave() {
-        table.commit(Transaction(newOperation(), emptyList(), listOf(Write.Delete(PREFIX + self))))
+        table.commit(Transaction(newOperation(), emptyList(), listOf(Write.Delete(PREFIX + self.node))))
     }
 
     private suspend fun announce() {
-        val row = NodeRow(self, incarnation, beat++)
-        val write = Write.Put(PREFIX + self, Json.encodeToString(NodeRow.serializer(), row))
+        val row = NodeRow(self.node, incarnation, beat++, self.domain, self.address.toString())
+        val write = Write.Put(PREFIX + self.node, Json.encodeToString(NodeRow.serializer(), row))
         table.commit(Transaction(newOperation(), emptyList(), listOf(write)))
     }
 
@@ -71,7 +89,9 @@
         present.values.forEach { row ->
             if (seen[row.node]?.row != row) seen[row.node] = Seen(row, now)
         }
-        val nodes = (seen.filterValues { now - it.changedAt < SILENCE }.keys + self).sortedBy { it.value }
+        val running = seen.filterValues { now - it.changedAt < SILENCE }
+        peers = running.values.filter { it.row.node != self.node }.mapNotNull { it.row.toPeer() }
+        val nodes = (running.keys + self.node).sortedBy { it.value }
         if (nodes == live) return
         live = nodes
         events.record(MembershipEvent.NODES_CHANGED, "nodes" with nodes.joinToString(","))
--- a/src/main/kotlin/org/persimmonrelay/node/RelayNode.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/RelayNode.kt
@@ -13,7 +13,12 @@
 import org.persimmonrelay.forward.ForwardServer
 import org.persimmonrelay.forward.ForwardServerParts
 import org.persimmonrelay.http.EventLoopThread
+import org.persimmonrelay.http.ServerAddress
 import org.persimmonrelay.identity.ServerId
+import org.persimmonrelay.load.LoadExchange
+import org.persimmonrelay.load.UdpLoadChannel
+import org.persimmonrelay.load.audienceAt
+import org.persimmonrelay.membership.NodePeer
 import org.persimmonrelay.membership.Rendezvous
 import org.persimmonrelay.platform.FeedTable
 import org.persimmonrelay.platform.RowFollower
@@ -39,17 +44,20 @@
 ) {
     @Volatile
     private var settings = settings
+    private val place = NodePlace(settings.domain, settings.region, settings.regions)
     private val traffic = EventLoopThread("traffic")
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val directory = BackendDirectory(events)
     private val tables = RouteTables(events)
     private val health: StoreHealth = StoreHealth(events) { directory.storeRegained(it) }
-    private val duties = RelayDuties(settings.node, settings.bounds, ports, identity, clock, events, tables, directory)
+    private val self =
+        NodePeer(settings.node, settings.domain, ServerAddress(settings.peers.host, settings.peers.port))
+    private val duties = RelayDuties(self, settings.bounds, ports, identity, clock, events, tables, directory)
     private val server =
         ForwardServer(
             ForwardServerParts(
                 settings = settings,
-                place = NodePlace(settings.domain, settings.region, settings.regions),
+                place = place,
                 tables = tables,
                 directory = directory,
                 dialect = ports.dialect,
@@ -62,11 +70,25 @@
             ),
             traffic,
         )
+    private val loadChannel = UdpLoadChannel(traffic, self.address, events)
+    private val loads = LoadExchange(
+        self = self.node,
+        incarnation = identity.incarnation,
+        chooser = server.chooser,
+        channel = loadChannel,
+        audience = { audienceAt(place, duties.membership.peers) },
+        clock = clock,
+        events = events,
+    )
 
     /** Listens and begins to follow the store. The node is ready once it knows the configuration and the servers. */
     public suspend fun start() {
         events.record(NodeEvent.NODE_STARTING, "node" with settings.node, "incarnation" with identity.incarnation)
-        withContext(traffic.dispatcher) { server.start() }
+        withContext(traffic.dispatcher) {
+            loadChannel.start(loads::received)
+            server.start()
+        }
+        traffic.scope.launch { loads.run() }
         follow(FeedTable.CONFIGURATION, ConfigurationListener(ports.reader, tables))
         follow(FeedTable.BACKEND_SERVERS, ServerListener(ports.reader, directory, { health }, clock))
         control.scope.launch { keepHouse() }
@@ -83,8 +105,9 @@
     /** Leaves within the grace period: refuses new work at first softly, ends what runs, hands over. */
     public suspend fun stop() {
         events.record(NodeEvent.NODE_LEAVING)
+        val end = clock.now() + settings.bounds.grace * STOPPING_SHARE
         withContext(traffic.dispatcher) { server.leave(settings.bounds.grace) }
-        withContext(control.dispatcher) { duties.leave() }
+        withContext(control.dispatcher) { duties.leave(patience = end - clock.now()) }
         events.record(NodeEvent.NODE_STOPPED)
         traffic.close()
     }
@@ -121,6 +144,9 @@
     private companion object {
         /** Places at each engine that are left to nodes which see other nodes than this one does. */
         const val SPARE_WATCHERS = 2
+
+        /** Part of the grace period after which the node ends in any case. */
+        const val STOPPING_SHARE = 0.9
         val HOUSEKEEPING = 250.milliseconds
         val READY_CHECK = 20.milliseconds
     }
--- a/src/main/kotlin/org/persimmonrelay/timeline/EventArea.kt
+++ b/src/main/kotlin/org/persimmonrelay/timeline/EventArea.kt
@@ -22,6 +22,7 @@
     FORWARD(2700, "forward"),
     SCALE(2800, "scale"),
     ADAPTER(2900, "adapter"),
+    LOAD(3000, "load"),
     ;
 
     /** The event numbers of this area. */
--- a/src/test/kotlin/org/persimmonrelay/backend/SharedPromptPlacementTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/backend/SharedPromptPlacementTest.kt
@@ -12,6 +12,7 @@
 import kotlin.test.assertNotNull
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -40,11 +41,14 @@
     @Test
     fun `the shared part is copied from a busy engine, not read again`() {
         val readers = List(2) { server("p$it", EngineStage.PREFILL) }
+        val maker = server("d0")
         readers.forEach { reports(it) }
         reports(readers[0], shared)
-        repeat(8) { chooser.sent(Placement.Chosen(readers[0], 1.seconds, 17_000), other(it), shape, now) }
+        listOf(readers[0], maker).forEach { busy ->
+            repeat(8) { chooser.sent(Placement.Chosen(busy, 1.seconds, 17_000), other(it), shape, now) }
+        }
 
-        val prefill = assertIs<Placement.Split>(choose(readers + server("d0"))).prefill
+        val prefill = assertIs<Placement.Split>(choose(readers + maker)).prefill
 
         assertEquals(readers[1], prefill.server)
         assertEquals(OWN_TOKENS, prefill.tokensToRead)
@@ -52,6 +56,30 @@
         assertEquals(shared.tokens, prefill.fetch.tokens)
     }
 
+    @Test
+    fun `a short rest is read where its tokens are made while no stream there waits longer for it`() {
+        val maker = server("d0")
+        val reader = server("p0", EngineStage.PREFILL)
+        reports(reader, shared)
+        reports(maker)
+        chooser.sent(Placement.Chosen(reader, 1.seconds, 6_000), other(1), shape, now)
+
+        val chosen = assertIs<Placement.Chosen>(choose(listOf(reader, maker)))
+
+        assertEquals(maker, chosen.server)
+        assertEquals(reader, assertNotNull(chosen.fetch).from)
+    }
+
+    @Test
+    fun `a second prompt at a server that makes tokens would make its streams late, so a reader gets it`() {
+        val maker = server("d0")
+        val reader = server("p0", EngineStage.PREFILL)
+        listOf(reader, maker).forEach { reports(it, shared) }
+        chooser.sent(Placement.Chosen(maker, 1.seconds, 5_000), other(1), shape, now)
+
+        assertEquals(reader, assertIs<Placement.Split>(choose(listOf(reader, maker))).prefill.server)
+    }
+
     @Test
     fun `a copy over a slow link between regions is left alone where reading is as quick`() {
         val slow = shape.copy(linkMbps = 50_000.0)
@@ -79,7 +107,8 @@
         busy.forEach {
             repeat(40) { n -> chooser.sent(Placement.Chosen(it, 1.seconds, 17_000), other(n), engine, now) }
         }
-        return chooser.choose(PlacementQuery(request(), 4.seconds, emptySet(), now), servers + busy, engine)
+        val query = PlacementQuery(request(), 4.seconds, emptySet(), now, pauseTarget = 250.milliseconds)
+        return chooser.choose(query, servers + busy, engine)
     }
 
     private fun request() =
--- a/src/test/kotlin/org/persimmonrelay/forward/ForwardFixture.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/ForwardFixture.kt
@@ -68,6 +68,7 @@
                     callers = nowhere,
                     readiness = nowhere,
                     metrics = nowhere,
+                    peers = nowhere,
                     bounds = RelayBounds(),
                 ),
                 place = BackendServers.PLACE,
--- /dev/null
+++ b/src/test/kotlin/org/persimmonrelay/load/LoadExchangeTest.kt
@@ -0,0 +1,139 @@
+package org.persimmonrelay.load
+
+import org.persimmonrelay.backend.BackendServers.ENGINES
+import org.persimmonrelay.backend.BackendServers.PLACE
+import org.persimmonrelay.backend.BackendServers.SHAPE
+import org.persimmonrelay.backend.BackendServers.server
+import org.persimmonrelay.backend.EngineStage
+import org.persimmonrelay.backend.Placement
+import org.persimmonrelay.backend.PlacementQuery
+import org.persimmonrelay.backend.PromptPart
+import org.persimmonrelay.backend.ServerChooser
+import org.persimmonrelay.backend.WorkRequest
+import org.persimmonrelay.clock.ManualClock
+import org.persimmonrelay.http.ServerAddress
+import org.persimmonrelay.identity.FailureDomain
+import org.persimmonrelay.identity.Incarnation
+import org.persimmonrelay.identity.NodeId
+import org.persimmonrelay.membership.NodePeer
+import org.persimmonrelay.timeline.EventCode
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** The load of many nodes that send long prompts to the same few engines, none of which any node sees whole. */
+class LoadExchangeTest {
+    private val clock = ManualClock()
+    private val readers = List(2) { server("p$it", EngineStage.PREFILL) }
+    private val servers = readers + server("d0")
+    private val events = ArrayList<EventCode>()
+    private val a = Node("a")
+    private val b = Node("b")
+
+    @Test
+    fun `a node passes over an engine that another node keeps busy`() {
+        val first = a.choose()
+        repeat(4) { a.send(first) }
+        assertEquals(first, b.choose())
+
+        a.exchange.tell(isFarRound = true, clock.now())
+
+        assertNotEquals(first, b.choose())
+    }
+
+    @Test
+    fun `what a node told no longer counts when it has fallen silent`() {
+        val first = a.choose()
+        repeat(4) { a.send(first) }
+        a.exchange.tell(isFarRound = true, clock.now())
+
+        clock.advance(5.seconds)
+        b.exchange.forgetSilent(clock.now())
+
+        assertEquals(first, b.choose())
+        assertTrue(LoadEvent.PEER_SILENT in events)
+    }
+
+    @Test
+    fun `an older report that arrives late changes nothing`() {
+        val first = a.choose()
+        a.send(first)
+        a.exchange.tell(isFarRound = true, clock.now())
+        val early = a.sent.last()
+        repeat(4) { a.send(first) }
+        a.exchange.tell(isFarRound = true, clock.now())
+        b.exchange.received(early)
+
+        assertNotEquals(first, b.choose())
+    }
+
+    @Test
+    fun `bytes that are no report and nodes that nobody knows are ignored`() {
+        val before = b.choose()
+        b.exchange.received(byteArrayOf(1, 2, 3))
+        val work = Node("stranger").apply { repeat(4) { send(before) } }.chooser.work()
+        b.exchange.received(LoadReport(NodeId("stranger"), Incarnation("1"), 1, work).encode())
+
+        assertEquals(before, b.choose())
+    }
+
+    @Test
+    fun `nodes of other regions are told in each third round only`() {
+        val far = NodePeer(NodeId("far"), FailureDomain("inland-a"), ServerAddress("127.0.0.1", 9))
+        val near = NodePeer(NodeId("near"), PLACE.domain, ServerAddress("127.0.0.1", 8))
+
+        assertEquals(LoadAudience(listOf(near), listOf(far)), audienceAt(PLACE, listOf(far, near)))
+    }
+
+    @Test
+    fun `among many nodes only near ones are told`() {
+        val far = List(20) { NodePeer(NodeId("far$it"), FailureDomain("inland-a"), ServerAddress("127.0.0.1", 9)) }
+        val near = List(5) { NodePeer(NodeId("near$it"), PLACE.domain, ServerAddress("127.0.0.1", 8)) }
+
+        assertEquals(LoadAudience(near, emptyList()), audienceAt(PLACE, far + near))
+    }
+
+    private inner class Node(name: String) {
+        val chooser = ServerChooser(PLACE)
+        val sent = ArrayList<ByteArray>()
+        private val other = if (name == "a") "b" else "a"
+        val exchange: LoadExchange = LoadExchange(
+            self = NodeId(name),
+            incarnation = Incarnation("$name-1"),
+            chooser = chooser,
+            channel = object : LoadChannel {
+                override fun send(address: ServerAddress, bytes: ByteArray) {
+                    sent += bytes
+                    (if (other == "b") b else a).exchange.received(bytes)
+                }
+            },
+            audience = {
+                LoadAudience(
+                    listOf(NodePeer(NodeId(other), PLACE.domain, ServerAddress("127.0.0.1", 1))),
+                    emptyList(),
+                )
+            },
+            clock = clock,
+            events = { code, _ -> events += code },
+        )
+
+        fun choose(): String {
+            val placement = chooser.choose(
+                PlacementQuery(request(0), 4.seconds, emptySet(), clock.now(), pauseTarget = 250.milliseconds),
+                servers,
+                SHAPE,
+            )
+            return (placement as Placement.Split).prefill.server.instance.id.value
+        }
+
+        fun send(reader: String) {
+            val chosen = readers.first { it.instance.id.value == reader }
+            chooser.sent(Placement.Chosen(chosen, 1.seconds, 17_000), request(1), SHAPE, clock.now())
+        }
+
+        private fun request(number: Int) = WorkRequest(ENGINES, listOf(PromptPart("long-$number", 17_000)), 17_000, 13)
+    }
+}
