--- a/src/main/kotlin/org/persimmonrelay/load/LoadExchange.kt
+++ b/src/main/kotlin/org/persimmonrelay/load/LoadExchange.kt
@@ -27,6 +27,7 @@
 ) {
     private val heard = HashMap<NodeId, Heard>()
     private var sequence = 0L
+    private var hasLoggedUnreadable = false
     private var lastSent: List<ServerWork> = emptyList()
     private var lastSentAt = Moment.ZERO
 
@@ -44,7 +45,7 @@
 
     /** A datagram arrived. */
     public fun received(bytes: ByteArray) {
-        val report = LoadReport.decode(bytes) ?: return
+        val report = LoadReport.decode(bytes) ?: return unreadable(bytes)
         if (report.node == self) return
         val now = clock.now()
         val before = heard[report.node]
@@ -55,6 +56,12 @@
         chooser.otherWork(report.node, report.work, now)
     }
 
+    /** One line for the life of the node: whoever sends such bytes may send many. */
+    private fun unreadable(bytes: ByteArray) {
+        if (!hasLoggedUnreadable) events.record(LoadEvent.REPORT_UNREADABLE, "bytes" with bytes.size)
+        hasLoggedUnreadable = true
+    }
+
     internal fun tell(isFarRound: Boolean, now: Moment) {
         val work = chooser.work()
         if (work == lastSent && now - lastSentAt < LONGEST_PAUSE) return
--- a/src/main/kotlin/org/persimmonrelay/load/LoadReport.kt
+++ b/src/main/kotlin/org/persimmonrelay/load/LoadReport.kt
@@ -30,7 +30,7 @@
         fun decode(bytes: ByteArray): LoadReport? = try {
             ProtoBuf.decodeFromByteArray(serializer(), bytes)
         } catch (_: SerializationException) {
-            // The exchange counts it as unreadable.
+            // The exchange logs it.
             null
         }
     }
--- a/src/test/kotlin/org/persimmonrelay/load/LoadExchangeTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/load/LoadExchangeTest.kt
@@ -73,7 +73,8 @@
     @Test
     fun `bytes that are no report and nodes that nobody knows are ignored`() {
         val before = b.choose()
-        b.exchange.received(byteArrayOf(1, 2, 3))
+        repeat(3) { b.exchange.received(byteArrayOf(1, 2, 3)) }
+        assertEquals(1, events.count { it == LoadEvent.REPORT_UNREADABLE })
         val work = Node("stranger").apply { repeat(4) { send(before) } }.chooser.work()
         b.exchange.received(LoadReport(NodeId("stranger"), Incarnation("1"), 1, work).encode())
 
