Bound what a node spends on other nodes, servers and the store

Change: a node prefers a bounded number of servers near it and follows the cache reports of those only; engines' pollers come from the engine's region and are picked when the nodes change. Load reports go to 32 nodes of the region, less often the more there are. A node may use more than its share of a server's connections while the server is lightly used. Outages count from the last successful call, whichever it was.

Found by a new test: a damaged datagram ended in an unexpected exception (IndexOutOfBounds).

Ruled out: one poll for both tables (the store's feed takes one table).

--- a/src/main/kotlin/org/persimmonrelay/backend/BackendDirectory.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/BackendDirectory.kt
@@ -13,6 +13,10 @@
     private val byService = servers.groupBy { it.service }
     private val instances = servers.mapTo(HashSet()) { it.instance }
 
+    /** Services that have servers. */
+    public val services: Set<ServiceId>
+        get() = byService.keys
+
     public fun of(service: ServiceId): List<BackendServer> = byService[service].orEmpty()
 
     /** True while [instance] may get new requests. */
--- a/src/main/kotlin/org/persimmonrelay/backend/Placement.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/Placement.kt
@@ -33,7 +33,8 @@
 /**
  * Input of a placement decision at [now] for [request]. The first part of the response must be expected within
  * [maxStartDelay]; servers in [excluded] are not used. [maySplit] allows prefill and decode on different servers.
- * [pauseTarget] is the longest pause between two events of the request's stream that still counts as on time.
+ * [pauseTarget] is the longest pause between two events of the request's stream that still counts as on time, and
+ * [latencyTarget] the response time to aim for.
  */
 public data class PlacementQuery(
     val request: RequestProfile,
@@ -42,4 +43,5 @@
     val now: Moment,
     val maySplit: Boolean = true,
     val pauseTarget: Duration? = null,
+    val latencyTarget: Duration = Duration.INFINITE,
 )
--- a/src/main/kotlin/org/persimmonrelay/backend/PlacementCosts.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/PlacementCosts.kt
@@ -61,7 +61,7 @@
         val cached = cachedTokens(load, cacheLikelihood)
         val fetch = holders?.fetchFor(server, cached, perToken)
         val tokens = (request.promptTokens - cached - (fetch?.tokens ?: 0)).coerceAtLeast(1)
-        val pending = statistics.tokensAhead(server, query.now)
+        val pending = statistics.tokensAhead(server)
         return PrefillEstimate(tokens, pending, perToken, fetch, model.expected((pending + tokens).toDouble()))
     }
 
@@ -80,7 +80,7 @@
         val recomputed =
             prefill?.let { (request.sharedTokens - (request.promptTokens - it.tokens)).coerceAtLeast(0) } ?: 0
         val batchCost =
-            if (work == ServerWorkKind.PREFILL) ZERO else COST_PER_RUNNING * statistics.running(server, query.now)
+            if (work == ServerWorkKind.PREFILL) ZERO else COST_PER_RUNNING * statistics.running(server)
         val interference = if (work == ServerWorkKind.FULL && prefill != null) interference(prefill) else ZERO
         return RECOMPUTE_PER_TOKEN * recomputed + batchCost + interference
     }
@@ -98,7 +98,7 @@
     }
 
     private fun queueingDelay(server: BackendServer): Duration {
-        val excess = statistics.running(server, query.now) + 1 - server.slots
+        val excess = statistics.running(server) + 1 - server.slots
         return if (excess <= 0) ZERO else PLAIN_SERVICE_TIME * excess / server.slots.coerceAtLeast(1)
     }
 
--- a/src/main/kotlin/org/persimmonrelay/backend/ServerChooser.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/ServerChooser.kt
@@ -19,7 +19,25 @@
     private val statistics = ServerStatistics()
 
     /** Chooses among [servers], the servers of the request's service that may get new requests. */
-    public fun choose(query: PlacementQuery, servers: List<BackendServer>, engine: EngineSpec?): Placement {
+    public fun choose(query: PlacementQuery, servers: List<BackendServer>, engine: EngineSpec?): Placement =
+        choose(query, ServerCandidates.of(servers), engine)
+
+    /** Chooses among the preferred servers; among all when none of the preferred ones is good enough. */
+    public fun choose(query: PlacementQuery, candidates: ServerCandidates, engine: EngineSpec?): Placement {
+        statistics.expirePeerWork(query.now)
+        val preferred = chooseAmong(candidates.preferred, query, engine)
+        if (!candidates.canWiden || isGoodEnough(preferred, query)) return preferred
+        val widened = chooseAmong(candidates.all, query, engine)
+        return if (widened is Placement.Refused) preferred else widened
+    }
+
+    private fun isGoodEnough(placement: Placement, query: PlacementQuery): Boolean = when (placement) {
+        is Placement.Chosen -> placement.expected <= query.latencyTarget * GOOD_ENOUGH_SHARE
+        is Placement.Split -> placement.expected <= query.latencyTarget * GOOD_ENOUGH_SHARE
+        is Placement.Refused -> false
+    }
+
+    private fun chooseAmong(servers: List<BackendServer>, query: PlacementQuery, engine: EngineSpec?): Placement {
         val usable = healthy(servers, query, engine)
         val (prefillers, decoders) = usable.partition { it.stage == EngineStage.PREFILL }
         if (decoders.isEmpty()) return Placement.Refused(RefusalReason.NO_SERVER, NO_SERVER_RETRY_AFTER)
@@ -35,7 +53,20 @@
     /** Chooses the decode server for a prompt whose prefill ran in [prefillDomain]. */
     public fun chooseDecode(
         query: PlacementQuery,
+        candidates: ServerCandidates,
+        engine: EngineSpec?,
+        prefillDomain: FailureDomain,
+    ): Placement {
+        statistics.expirePeerWork(query.now)
+        val preferred = chooseDecodeAmong(candidates.preferred, query, engine, prefillDomain)
+        if (!candidates.canWiden || isGoodEnough(preferred, query)) return preferred
+        val widened = chooseDecodeAmong(candidates.all, query, engine, prefillDomain)
+        return if (widened is Placement.Refused) preferred else widened
+    }
+
+    private fun chooseDecodeAmong(
         servers: List<BackendServer>,
+        query: PlacementQuery,
         engine: EngineSpec?,
         prefillDomain: FailureDomain,
     ): Placement {
@@ -56,7 +87,7 @@
         load.started(chosen.prefillTokens)
         if (request.hasPrompt) load.cache.recordSent(request.prompt, now)
         val updatesModel = request.hasPrompt && chosen.prefillTokens > 0
-        val ahead = statistics.tokensAhead(chosen.server, now)
+        val ahead = statistics.tokensAhead(chosen.server)
         return InFlightRequest(load, statistics.model(chosen.server), chosen, ahead, updatesModel)
     }
 
@@ -78,11 +109,15 @@
     /** Replaces the work in flight that [node] reported before by [work]. */
     public fun peerWork(node: NodeId, work: List<ServerWork>, now: Moment): Unit = statistics.peerWork(node, work, now)
 
+    /** The work of [reporting] nodes is known, of [running] that send to the same servers. */
+    public fun peersReporting(reporting: Int, running: Int): Unit =
+        statistics.peerScale((running.toDouble() / reporting.coerceAtLeast(1)).coerceIn(1.0, MAX_PEER_SCALE))
+
     /** Drops the statistics of servers that are not in [view]. */
     public fun retain(view: BackendView): Unit = statistics.retain(view)
 
-    /** Requests of this node at [instance]. */
-    public fun running(instance: ServerInstance): Int = statistics.ownRunning(instance)
+    /** Requests of all nodes at [server], as far as their reports are known. */
+    public fun running(server: BackendServer): Int = statistics.running(server)
 
     private class SplitOption(val placement: Placement.Split, val cost: Duration)
 
@@ -142,5 +177,11 @@
         val NO_SERVER_RETRY_AFTER = 700.milliseconds
         val RETRY_RANGE = 300.milliseconds..2_000.milliseconds
         const val MIN_SPLIT_TOKENS = 256
+
+        /** Share of the latency target within which a preferred server must start for the others not to be looked at. */
+        const val GOOD_ENOUGH_SHARE = 0.5
+
+        /** Limits the effect of nodes that were just started or have just stopped. */
+        const val MAX_PEER_SCALE = 4.0
     }
 }
--- a/src/main/kotlin/org/persimmonrelay/backend/ServerStatistics.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/ServerStatistics.kt
@@ -20,12 +20,11 @@
         models.getOrPut(server.service to server.stage) { FirstTokenTimeModel() }
 
     /** Prompt tokens of all nodes' requests at [server] that have no first token yet. */
-    fun tokensAhead(server: BackendServer, now: Moment): Int =
-        (loads[server.instance]?.tokensAhead ?: 0) + peers.tokensAhead(server.instance, now)
+    fun tokensAhead(server: BackendServer): Int =
+        (loads[server.instance]?.tokensAhead ?: 0) + peers.tokensAhead(server.instance)
 
     /** Requests of all nodes at [server]. */
-    fun running(server: BackendServer, now: Moment): Int =
-        ownRunning(server.instance) + peers.running(server.instance, now)
+    fun running(server: BackendServer): Int = ownRunning(server.instance) + peers.running(server.instance)
 
     /** Requests of this node at [instance]. */
     fun ownRunning(instance: ServerInstance): Int = loads[instance]?.running ?: 0
@@ -38,6 +37,14 @@
     /** Replaces the work in flight that [node] reported before by [work]. */
     fun peerWork(node: NodeId, work: List<ServerWork>, now: Moment) = peers.update(node, work, now)
 
+    /** Sets how many times the work reported by other nodes stands for that of all of them. */
+    fun peerScale(scale: Double) {
+        peers.scale = scale
+    }
+
+    /** Drops reports of other nodes that are too old at [now]. */
+    fun expirePeerWork(now: Moment) = peers.expire(now)
+
     /** Drops the loads of servers that are not in [view]. */
     fun retain(view: BackendView) {
         loads.keys.retainAll { it in view }
--- a/src/main/kotlin/org/persimmonrelay/forward/EngineReportPoller.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/EngineReportPoller.kt
@@ -66,7 +66,7 @@
                     delay(RETRY_DELAY)
                 } else {
                     apply(changes)
-                    delay(POLL_DELAY)
+                    delay(maxOf(MIN_POLL_DELAY, POLL_DELAY_PER_ENGINE * pollers.size))
                 }
             }
         }
@@ -118,7 +118,10 @@
         val TIMEOUT = 500.milliseconds
 
         /** Pause between two calls; a busy engine is polled only a few times a second. */
-        val POLL_DELAY = 120.milliseconds
+        val MIN_POLL_DELAY = 120.milliseconds
+
+        /** Bounds the calls to all engines together. */
+        val POLL_DELAY_PER_ENGINE = 15.milliseconds
         val RETRY_DELAY = 1.seconds
     }
 }
--- a/src/main/kotlin/org/persimmonrelay/forward/ForwardLimits.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ForwardLimits.kt
@@ -1,7 +1,7 @@
 package org.persimmonrelay.forward
 
+import org.persimmonrelay.backend.BackendServer
 import org.persimmonrelay.backend.RetryBudgetPolicy
-import org.persimmonrelay.identity.ServerId
 import kotlin.time.Duration
 
 /** Limits that may change while the node runs. */
@@ -13,7 +13,7 @@
     public fun maxKeyStaleness(): Duration?
 
     /** True if this node is one of the [maxPollers] nodes that may poll [server] for cache reports. */
-    public fun mayPollReports(server: ServerId, maxPollers: Int): Boolean
+    public fun mayPollReports(server: BackendServer, maxPollers: Int): Boolean
 
     /** Number of nodes that share the retry budget and the connections to servers. */
     public fun nodeCount(): Int
--- a/src/main/kotlin/org/persimmonrelay/forward/ForwardServer.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ForwardServer.kt
@@ -3,6 +3,8 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import kotlinx.coroutines.delay
 import org.persimmonrelay.backend.BackendServer
+import org.persimmonrelay.backend.BackendView
+import org.persimmonrelay.backend.NearbyServers
 import org.persimmonrelay.backend.NodeRetryBudget
 import org.persimmonrelay.backend.ServerChooser
 import org.persimmonrelay.http.CallerExchange
@@ -22,10 +24,11 @@
  * Serves callers, and readiness and metrics on addresses of their own. Confined to [thread], the traffic thread.
  */
 public class ForwardServer(private val dependencies: ForwardServerDependencies, private val thread: EventLoopThread) {
-    private val pools = ServerConnectionPools(HttpConnector(thread), dependencies.limits::nodeCount)
-
     /** Decides which server gets a request; its calls belong to [thread]. */
     public val chooser: ServerChooser = ServerChooser(dependencies.place)
+    private val pools =
+        ServerConnectionPools(HttpConnector(thread), dependencies.limits::nodeCount, chooser::running)
+    private val nearbyServers = NearbyServers(dependencies.settings.node, dependencies.place)
     private val client = ServerClient(pools, dependencies.clock)
     private val handleReleaser = KvHandleReleaser(thread.scope, client, dependencies.headerCodec, dependencies.events)
     private val reportPoller =
@@ -65,13 +68,16 @@
         val view = dependencies.directory.view
         chooser.retain(view)
         pools.retain(view)
-        reportPoller.setEngines(view.servers.mapNotNull(::polledEngine))
+        reportPoller.setEngines(polledEngines(view))
     }
 
+    private fun polledEngines(view: BackendView): List<PolledEngine> =
+        view.services.flatMap { nearbyServers.of(view, it).preferred }.mapNotNull(::polledEngine)
+
     private fun polledEngine(server: BackendServer): PolledEngine? {
         val spec = dependencies.routeTable.current?.services?.get(server.service)?.engine ?: return null
         return PolledEngine(server, spec).takeIf {
-            dependencies.limits.mayPollReports(server.instance.id, spec.maxReportPollers)
+            dependencies.limits.mayPollReports(server, spec.maxReportPollers)
         }
     }
 
@@ -111,6 +117,7 @@
             )
         val forwardDependencies = ForwardDependencies(
             directory = dependencies.directory,
+            nearbyServers = nearbyServers,
             chooser = chooser,
             retryBudget = NodeRetryBudget(dependencies.limits::retryRule, dependencies.limits::nodeCount),
             codec = dependencies.headerCodec,
--- a/src/main/kotlin/org/persimmonrelay/forward/RequestExecution.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/RequestExecution.kt
@@ -43,15 +43,23 @@
         }
     }
 
-    private fun servers() = dependencies.directory.view.of(request.profile.service)
+    private fun candidates() = dependencies.nearbyServers.of(dependencies.directory.view, request.profile.service)
 
     private fun query(now: Moment): PlacementQuery {
         val latest = (request.deadline - now) * LATEST_START_SHARE
         val pauseTarget = (request.route.kind as? RouteKind.Streaming)?.pauseTarget
-        return PlacementQuery(request.profile, latest, triedServers, now, maySplit, pauseTarget)
+        return PlacementQuery(
+            request = request.profile,
+            maxStartDelay = latest,
+            excluded = triedServers,
+            now = now,
+            maySplit = maySplit,
+            pauseTarget = pauseTarget,
+            latencyTarget = request.route.latencyTarget,
+        )
     }
 
-    private fun place(now: Moment): Placement = dependencies.chooser.choose(query(now), servers(), request.engine)
+    private fun place(now: Moment): Placement = dependencies.chooser.choose(query(now), candidates(), request.engine)
 
     private suspend fun run(chosen: Placement.Chosen) = attempt(chosen, ServerTask.Run)
 
@@ -66,7 +74,12 @@
         var handleUsed = false
         try {
             val decode =
-                dependencies.chooser.chooseDecode(query(clock.now()), servers(), request.engine, prefillServer.domain)
+                dependencies.chooser.chooseDecode(
+                    query(clock.now()),
+                    candidates(),
+                    request.engine,
+                    prefillServer.domain,
+                )
             if (decode !is Placement.Chosen) return AttemptOutcome.NotRun("no-maker", reachedServer = false)
             val outcome = attempt(decode, ServerTask.Decode(prefill.handle))
             handleUsed = outcome is AttemptOutcome.Delivered
--- a/src/main/kotlin/org/persimmonrelay/load/LoadExchange.kt
+++ b/src/main/kotlin/org/persimmonrelay/load/LoadExchange.kt
@@ -8,6 +8,7 @@
 import org.persimmonrelay.identity.Incarnation
 import org.persimmonrelay.identity.NodeId
 import org.persimmonrelay.membership.UdpPeer
+import org.persimmonrelay.platform.NewestChanges
 import org.persimmonrelay.timeline.EventSink
 import org.persimmonrelay.timeline.with
 import kotlin.time.Duration.Companion.milliseconds
@@ -15,7 +16,8 @@
 
 /**
  * Sends load reports with this node's work at backend servers to other nodes, and passes their reports to [chooser].
- * Confined to the traffic thread.
+ * Reports also carry the newest changes that each node has read from the store, which tells a node whose own connection
+ * to the store has gone silent that it misses some ([feeds]). Confined to the traffic thread.
  */
 public class LoadExchange(
     private val self: NodeId,
@@ -23,6 +25,7 @@
     private val chooser: ServerChooser,
     private val transport: LoadReportTransport,
     private val recipients: () -> LoadReportRecipients,
+    private val feeds: FollowedFeeds,
     private val clock: Clock,
     private val events: EventSink,
 ) {
@@ -30,6 +33,7 @@
     private var sequence = 0L
     private var hasLoggedUnreadable = false
     private var lastSent: List<ServerWork> = emptyList()
+    private var lastSentChanges = NewestChanges()
     private var lastSentAt = Moment.ZERO
 
     private class ReceivedReport(val incarnation: Incarnation, val sequence: Long, val at: Moment)
@@ -38,12 +42,16 @@
     public suspend fun run() {
         var round = 0
         while (true) {
-            delay(PERIOD)
+            delay(PERIOD * roundsPerReport(recipients()))
             sendReport(isFarRound = round++ % FAR_PEER_ROUNDS == 0, clock.now())
             expireSilentPeers(clock.now())
         }
     }
 
+    /** With many recipients, reports are sent less often, so that a node's datagrams do not grow with their number. */
+    private fun roundsPerReport(to: LoadReportRecipients): Int =
+        (to.near.size + RECIPIENTS_PER_ROUND - 1).div(RECIPIENTS_PER_ROUND).coerceAtLeast(1)
+
     /** Processes a datagram. Ignores outdated reports and reports of unknown nodes. */
     public fun receive(bytes: ByteArray) {
         val report = NodeLoadReport.decode(bytes) ?: return logUnreadable(bytes)
@@ -55,6 +63,7 @@
         lastReports[report.node] = ReceivedReport(report.incarnation, report.sequence, now)
         if (previous == null) events.record(LoadEvent.PEER_HEARD, "node" with report.node)
         chooser.peerWork(report.node, report.work, now)
+        feeds.changesSeenElsewhere(report.changes)
     }
 
     /** Logged once per process, because the sender of such datagrams may send many. */
@@ -65,12 +74,15 @@
 
     internal fun sendReport(isFarRound: Boolean, now: Moment) {
         val work = chooser.work()
-        if (work == lastSent && now - lastSentAt < MAX_REPORT_INTERVAL) return
+        val changes = feeds.newestChanges
+        val isUnchanged = work == lastSent && changes == lastSentChanges
+        if (isUnchanged && now - lastSentAt < MAX_REPORT_INTERVAL) return
         val peers = recipients()
-        val bytes = NodeLoadReport(self, incarnation, ++sequence, work).encode()
+        val bytes = NodeLoadReport(self, incarnation, ++sequence, work, changes).encode()
         peers.near.forEach { transport.send(it.address, bytes) }
         if (isFarRound) peers.far.forEach { transport.send(it.address, bytes) }
         lastSent = work
+        lastSentChanges = changes
         lastSentAt = now
     }
 
@@ -81,6 +93,7 @@
             chooser.peerWork(it, emptyList(), now)
             events.record(LoadEvent.PEER_SILENT, "node" with it)
         }
+        chooser.peersReporting(lastReports.size, recipients().nodesInRegion)
     }
 
     private fun isKnown(node: NodeId) = recipients().let { peers -> (peers.near + peers.far).any { it.node == node } }
@@ -88,6 +101,9 @@
     private companion object {
         val PERIOD = 100.milliseconds
 
+        /** Number of recipients in the region for which reports are sent each [PERIOD]. */
+        const val RECIPIENTS_PER_ROUND = 12
+
         /** Nodes of other regions get a report every this many rounds. */
         const val FAR_PEER_ROUNDS = 3
 
@@ -99,5 +115,8 @@
     }
 }
 
-/** Recipients of load reports: [near] nodes in this region each round, [far] nodes only every few rounds. */
-public data class LoadReportRecipients(val near: List<UdpPeer>, val far: List<UdpPeer>)
+/**
+ * Recipients of load reports: [near] nodes in this region each round, [far] nodes only every few rounds.
+ * [nodesInRegion] is the number of other nodes in the region, recipients or not.
+ */
+public data class LoadReportRecipients(val near: List<UdpPeer>, val far: List<UdpPeer>, val nodesInRegion: Int)
--- a/src/main/kotlin/org/persimmonrelay/membership/LiveNodeRegistry.kt
+++ b/src/main/kotlin/org/persimmonrelay/membership/LiveNodeRegistry.kt
@@ -18,13 +18,16 @@
 import org.persimmonrelay.platform.Write
 import org.persimmonrelay.timeline.EventSink
 import org.persimmonrelay.timeline.with
+import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * The running nodes, according to heartbeat rows in the store. Each node rewrites its row every [HEARTBEAT_PERIOD]; a
- * node whose row has not changed for [LIVENESS_TIMEOUT] counts as stopped. Functions must be called on the control
- * thread; [liveNodes] and [peers] may be read from any thread.
+ * The running nodes, according to heartbeat rows in the store. Each node rewrites its row and reads those of the others
+ * every heartbeat period, which grows with their number, so that the bytes that a node reads a second do not. A node
+ * whose row has not changed for several periods counts as stopped. Functions must be called on the control thread;
+ * [liveNodes] and [peers] may be read from any thread.
  */
 public class LiveNodeRegistry(
     private val table: ReliableTable,
@@ -32,6 +35,7 @@
     private val incarnation: Incarnation,
     private val clock: Clock,
     private val newOperation: () -> OperationId,
+    private val random: Random,
     private val events: EventSink,
 ) {
     private val observed = HashMap<NodeId, ObservedRow>()
@@ -42,7 +46,7 @@
     public var liveNodes: List<NodeId> = listOf(self.node)
         private set
 
-    /** The other running nodes that published a UDP address. */
+    /** The other running nodes that published a UDP address. The same list instance until it changes. */
     @Volatile
     public var peers: List<UdpPeer> = emptyList()
         private set
@@ -68,11 +72,11 @@
         while (true) {
             writeHeartbeat()
             refresh()
-            delay(HEARTBEAT_PERIOD)
+            delay(heartbeatPeriod(liveNodes.size) * random.nextDouble(MIN_JITTER_FACTOR, 1.0))
         }
     }
 
-    /** Removes this node's row, so that the others need not wait for [LIVENESS_TIMEOUT]. */
+    /** Removes this node's row, so that the others need not wait for the liveness timeout. */
     public suspend fun deregister() {
         table.commit(Transaction(newOperation(), emptyList(), listOf(Write.Delete(PREFIX + self.node))))
     }
@@ -91,8 +95,10 @@
         present.values.forEach { row ->
             if (observed[row.node]?.row != row) observed[row.node] = ObservedRow(row, now)
         }
-        val running = observed.filterValues { now - it.changedAt < LIVENESS_TIMEOUT }
-        peers = running.values.filter { it.row.node != self.node }.mapNotNull { it.row.toPeer() }
+        val timeout = heartbeatPeriod(present.size) * MISSED_HEARTBEATS
+        val running = observed.filterValues { now - it.changedAt < timeout }
+        val others = running.values.filter { it.row.node != self.node }.mapNotNull { it.row.toPeer() }
+        if (others != peers) peers = others
         val nodes = (running.keys + self.node).sortedBy { it.value }
         if (nodes == liveNodes) return
         liveNodes = nodes
@@ -108,7 +114,12 @@
 
     private companion object {
         const val PREFIX = "node/"
-        val HEARTBEAT_PERIOD: Duration = 3.seconds
-        val LIVENESS_TIMEOUT: Duration = 9.seconds
+        const val MISSED_HEARTBEATS = 3
+        const val MIN_JITTER_FACTOR = 0.8
+        val SHORTEST_PERIOD: Duration = 3.seconds
+        val LONGEST_PERIOD: Duration = 12.seconds
+        val PERIOD_PER_NODE: Duration = 150.milliseconds
+
+        fun heartbeatPeriod(nodes: Int): Duration = (PERIOD_PER_NODE * nodes).coerceIn(SHORTEST_PERIOD, LONGEST_PERIOD)
     }
 }
--- a/src/main/kotlin/org/persimmonrelay/membership/Rendezvous.kt
+++ b/src/main/kotlin/org/persimmonrelay/membership/Rendezvous.kt
@@ -23,8 +23,11 @@
     /** The [count] best of [nodes] for [key], best first. */
     public fun pickNodes(key: String, nodes: Collection<NodeId>, count: Int): List<NodeId> {
         if (count >= nodes.size) return nodes.toList()
-        return nodes.sortedWith(compareByDescending<NodeId> { weight(key, it) }.thenBy { it.value })
+        // Weights are computed once: a hash in the comparator would run many times for each node.
+        return nodes.map { it to weight(key, it) }
+            .sortedWith(compareByDescending<Pair<NodeId, Long>> { it.second }.thenBy { it.first.value })
             .take(count.coerceAtLeast(0))
+            .map { it.first }
     }
 
     private fun weight(key: String, member: Member): Long = weight(key, member.address.node)
--- a/src/main/kotlin/org/persimmonrelay/node/RelayDuties.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/RelayDuties.kt
@@ -11,7 +11,9 @@
 import org.persimmonrelay.lease.PredecessorEvidence
 import org.persimmonrelay.membership.LiveNodeRegistry
 import org.persimmonrelay.membership.UdpPeer
+import org.persimmonrelay.platform.HealthTrackingTable
 import org.persimmonrelay.platform.ReliableTable
+import org.persimmonrelay.platform.StoreHealth
 import org.persimmonrelay.platform.TableClientSettings
 import org.persimmonrelay.route.ActiveRouteTable
 import org.persimmonrelay.settings.RelayBounds
@@ -20,6 +22,7 @@
 import org.persimmonrelay.usage.UsageRecorder
 import org.persimmonrelay.usage.UsageSettings
 import org.persimmonrelay.usage.WindowCloser
+import org.persimmonrelay.usage.WindowFlushSchedule
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -37,11 +40,25 @@
     events: EventSink,
     tables: ActiveRouteTable,
     directory: BackendDirectory,
+    health: StoreHealth,
 ) {
     private val table =
-        ReliableTable(dependencies.table, clock, identity.random, TableClientSettings(maxBackoff = MAX_BACKOFF))
+        ReliableTable(
+            HealthTrackingTable(dependencies.table, health, clock),
+            clock,
+            identity.random,
+            TableClientSettings(maxBackoff = MAX_BACKOFF),
+        )
     val membership =
-        LiveNodeRegistry(table, self, identity.incarnation, clock, identity.operations::next, events)
+        LiveNodeRegistry(
+            table,
+            self,
+            identity.incarnation,
+            clock,
+            identity.operations::next,
+            identity.random,
+            events,
+        )
     private val leases =
         LeaseManager(
             table = table,
@@ -57,14 +74,20 @@
     private val usageSettings =
         UsageSettings(
             window = bounds.usageWindow,
-            flushEvery = 1_200.milliseconds,
             grace = 1_600.milliseconds,
             maxGrace = bounds.usageDue * GRACE_FRACTION,
             closeEvery = 1.seconds,
             maxSegmentsPerWindow = MAX_SEGMENTS_PER_WINDOW,
         )
     private val usageRecorder =
-        UsageRecorder(table, dependencies.wallClock, identity.incarnation, events, usageSettings)
+        UsageRecorder(
+            table,
+            dependencies.wallClock,
+            identity.incarnation,
+            events,
+            usageSettings,
+            WindowFlushSchedule(bounds.usageWindow, { membership.liveNodes.size }, identity.random),
+        )
     private val timeAgreement = TimeAgreement(table, dependencies.wallClock, identity.operations::next, events)
     private val windowCloser = dependencies.usage?.let {
         WindowCloser(
--- a/src/main/kotlin/org/persimmonrelay/node/RelayNode.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/RelayNode.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import org.persimmonrelay.backend.BackendDirectory
+import org.persimmonrelay.backend.BackendServer
 import org.persimmonrelay.backend.NodeLocation
 import org.persimmonrelay.backend.RetryBudgetPolicy
 import org.persimmonrelay.clock.Clock
@@ -14,20 +15,23 @@
 import org.persimmonrelay.forward.ForwardServerDependencies
 import org.persimmonrelay.http.EventLoopThread
 import org.persimmonrelay.http.ServerAddress
-import org.persimmonrelay.identity.ServerId
+import org.persimmonrelay.load.FollowedFeeds
 import org.persimmonrelay.load.LoadExchange
+import org.persimmonrelay.load.LoadReportRecipients
 import org.persimmonrelay.load.UdpLoadReportTransport
 import org.persimmonrelay.load.loadReportRecipients
-import org.persimmonrelay.membership.Rendezvous
 import org.persimmonrelay.membership.UdpPeer
 import org.persimmonrelay.platform.FeedTable
+import org.persimmonrelay.platform.NewestChanges
 import org.persimmonrelay.platform.RowFollower
+import org.persimmonrelay.platform.RowFollowerSettings
 import org.persimmonrelay.platform.RowListener
 import org.persimmonrelay.platform.StoreHealth
 import org.persimmonrelay.route.ActiveRouteTable
 import org.persimmonrelay.settings.RelaySettings
 import org.persimmonrelay.timeline.EventSink
 import org.persimmonrelay.timeline.with
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -49,10 +53,18 @@
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val directory = BackendDirectory(events)
     private val tables = ActiveRouteTable(events)
-    private val health: StoreHealth = StoreHealth(events) { directory.storeRecovered(it) }
+    private val health: StoreHealth =
+        StoreHealth(events, onLost = { followers.forEach { it.storeLost() } }) { directory.storeRecovered(it) }
+    private val configurationFollower =
+        follower(FeedTable.CONFIGURATION, ConfigurationListener(dependencies.reader, tables))
+    private val serverFollower =
+        follower(FeedTable.BACKEND_SERVERS, ServerListener(dependencies.reader, directory, { health }, clock))
+    private val followers = listOf(configurationFollower, serverFollower)
     private val self =
         UdpPeer(settings.node, settings.domain, ServerAddress(settings.peers.host, settings.peers.port))
-    private val duties = RelayDuties(self, settings.bounds, dependencies, identity, clock, events, tables, directory)
+    private val duties =
+        RelayDuties(self, settings.bounds, dependencies, identity, clock, events, tables, directory, health)
+    private val pollerAssignment = ReportPollerAssignment(settings.node, location)
     private val server =
         ForwardServer(
             ForwardServerDependencies(
@@ -76,7 +88,8 @@
         incarnation = identity.incarnation,
         chooser = server.chooser,
         transport = loadTransport,
-        recipients = { loadReportRecipients(location, duties.membership.peers) },
+        recipients = ::reportRecipients,
+        feeds = followedFeeds(),
         clock = clock,
         events = events,
     )
@@ -92,8 +105,7 @@
             server.start()
         }
         traffic.scope.launch { loads.run() }
-        follow(FeedTable.CONFIGURATION, ConfigurationListener(dependencies.reader, tables))
-        follow(FeedTable.BACKEND_SERVERS, ServerListener(dependencies.reader, directory, { health }, clock))
+        followers.forEach { control.scope.launch { it.run() } }
         control.scope.launch { runHousekeeping() }
         duties.start(control.scope)
         control.scope.launch { awaitReady() }
@@ -115,9 +127,25 @@
         traffic.close()
     }
 
-    private fun follow(table: FeedTable, listener: RowListener) {
-        val follower = RowFollower(dependencies.feed, table, listener, health, clock, events)
-        control.scope.launch { follower.run() }
+    private fun follower(table: FeedTable, listener: RowListener): RowFollower {
+        val settings = RowFollowerSettings(pollTimeout = ::pollTimeout)
+        return RowFollower(dependencies.feed, table, listener, health, clock, events, settings)
+    }
+
+    private fun pollTimeout(): Duration =
+        feedPollTimeout(reportRecipients().near.size, settings.bounds.keyBound, identity.random)
+
+    private fun reportRecipients(): LoadReportRecipients =
+        loadReportRecipients(self.node, location, duties.membership.peers)
+
+    private fun followedFeeds() = object : FollowedFeeds {
+        override val newestChanges: NewestChanges
+            get() = NewestChanges(configurationFollower.newestChange, serverFollower.newestChange)
+
+        override fun changesSeenElsewhere(changes: NewestChanges) {
+            configurationFollower.changeSeenElsewhere(changes.configuration)
+            serverFollower.changeSeenElsewhere(changes.backendServers)
+        }
     }
 
     private suspend fun runHousekeeping() {
@@ -142,8 +170,8 @@
 
         override fun nodeCount() = duties.membership.liveNodes.size
 
-        override fun mayPollReports(server: ServerId, maxPollers: Int) = settings.node in
-            Rendezvous.pickNodes(server.value, duties.membership.liveNodes, maxPollers - RESERVED_POLLERS)
+        override fun mayPollReports(server: BackendServer, maxPollers: Int) =
+            pollerAssignment.isPoller(server, maxPollers - RESERVED_POLLERS, duties.membership.peers)
     }
 
     private companion object {
--- a/src/main/kotlin/org/persimmonrelay/platform/PlatformEvent.kt
+++ b/src/main/kotlin/org/persimmonrelay/platform/PlatformEvent.kt
@@ -7,5 +7,6 @@
     STORE_LOST(2000, "The store does not respond; this node continues with the data it last read."),
     STORE_REGAINED(2001, "The store responds again."),
     HISTORY_LOST(2002, "The store no longer has the requested changes; the table is read again in full."),
+    CHANGE_MISSED(2004, "Another node has read a change that did not arrive here; the table is read again in full."),
     TIME_AGREED(2003, "The nodes have agreed on a shared wall-clock time."),
 }
--- a/src/main/kotlin/org/persimmonrelay/platform/RowFeed.kt
+++ b/src/main/kotlin/org/persimmonrelay/platform/RowFeed.kt
@@ -7,8 +7,16 @@
 /** A row of a table that other systems write. In a list of changes, a null [value] means that the row was removed. */
 public class FeedRow(public val key: String, public val value: ByteArray?)
 
-/** Rows as of store version [version]. [sentAt] is the time at which the request was sent. */
-public class FeedResponse(public val rows: List<FeedRow>, public val version: Long, public val sentAt: Moment)
+/**
+ * Rows as of store version [version]. [sentAt] is the time at which the request was sent, [newestChange] the store
+ * version of the newest change among the rows, 0 when there are none.
+ */
+public class FeedResponse(
+    public val rows: List<FeedRow>,
+    public val version: Long,
+    public val sentAt: Moment,
+    public val newestChange: Long = 0,
+)
 
 /** Why a feed returned no rows. */
 public sealed interface FeedFailure {
@@ -26,6 +34,9 @@
 
     /** Rows of [table] that changed after [version]. Waits up to [wait] for a change; no rows means no change. */
     public suspend fun changes(table: FeedTable, version: Long, wait: Duration): Either<FeedFailure, FeedResponse>
+
+    /** Closes connections to the store that are not in use, because they may be dead. */
+    public fun closeIdleConnections()
 }
 
 /** Tables that a node follows through a [RowFeed]. */
--- a/src/main/kotlin/org/persimmonrelay/platform/RowFollower.kt
+++ b/src/main/kotlin/org/persimmonrelay/platform/RowFollower.kt
@@ -1,6 +1,10 @@
 package org.persimmonrelay.platform
 
+import kotlinx.coroutines.async
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.selects.select
 import org.persimmonrelay.clock.Clock
 import org.persimmonrelay.clock.Moment
 import org.persimmonrelay.timeline.EventSink
@@ -20,18 +24,27 @@
 
 /**
  * Time values of a [RowFollower]: how long a request for changes waits for a change, the time after which the table is
- * read again in full, and the backoff after failed reads.
+ * read again in full, and the backoff after failed reads. [pollTimeout] is asked before each request.
  */
-public data class RowFollowerSettings(
-    val pollTimeout: Duration = 1_500.milliseconds,
-    val snapshotInterval: Duration = 4.seconds,
-    val firstBackoff: Duration = 50.milliseconds,
-    val maxBackoff: Duration = 400.milliseconds,
-)
+public class RowFollowerSettings(
+    public val pollTimeout: () -> Duration = { DEFAULT_POLL_TIMEOUT },
+    public val snapshotInterval: Duration = 20.seconds,
+    public val firstBackoff: Duration = 50.milliseconds,
+    public val maxBackoff: Duration = 400.milliseconds,
+) {
+    private companion object {
+        val DEFAULT_POLL_TIMEOUT = 1_500.milliseconds
+    }
+}
 
 /**
- * Follows one table: reads all rows, then polls for changes. Changes may be reported late or never, so all rows are
- * read again periodically and after every failure. Runs on the control thread.
+ * Follows one table: reads all rows, then polls for changes. All rows are read again after every failure, when another
+ * node has seen a change that did not arrive here, and periodically.
+ *
+ * A poll that waits long can't be told from a connection that has gone silent. Other nodes therefore tell which changes
+ * they have read ([changeSeenElsewhere]): the first of them whose poll ends makes all others read again.
+ *
+ * Runs on the control thread; [newestChange] and [changeSeenElsewhere] may be used on any thread.
  */
 public class RowFollower(
     private val feed: RowFeed,
@@ -43,6 +56,36 @@
     private val settings: RowFollowerSettings = RowFollowerSettings(),
 ) {
     private var backoff = settings.firstBackoff
+    private val interruptions = Channel<Interruption>(Channel.CONFLATED)
+
+    /** Store version up to which this node knows the table. */
+    @Volatile
+    private var readUpTo = 0L
+
+    /** Store version of the newest change of the table that this node has read; 0 before the first. */
+    @Volatile
+    public var newestChange: Long = 0
+        private set
+
+    @Volatile
+    private var lastClaim = 0L
+
+    private enum class Interruption { CHANGE_SEEN_ELSEWHERE, STORE_LOST }
+
+    /**
+     * Another node has read the change of store version [version]; if this node has not, it reads the table again, once
+     * for each version, since reading shows whether there is such a change.
+     */
+    public fun changeSeenElsewhere(version: Long) {
+        if (version <= readUpTo || version == lastClaim) return
+        lastClaim = version
+        interruptions.trySend(Interruption.CHANGE_SEEN_ELSEWHERE)
+    }
+
+    /** Another call to the store failed, so a poll in progress may get no response either. */
+    public fun storeLost() {
+        interruptions.trySend(Interruption.STORE_LOST)
+    }
 
     /** Follows the table until cancelled. */
     public suspend fun run() {
@@ -52,22 +95,40 @@
                 delayBackoff()
                 continue
             }
-            onSuccess()
+            onSuccess(response)
             listener.onSnapshot(response)
-            followChanges(response.version, clock.now() + settings.snapshotInterval)
+            followChanges(clock.now() + settings.snapshotInterval)
         }
     }
 
-    private suspend fun followChanges(from: Long, until: Moment) {
-        var version = from
+    private suspend fun followChanges(until: Moment) {
         while (clock.now() < until) {
-            val response = feed.changes(table, version, settings.pollTimeout).fold({ onFailure(it) }, { it }) ?: return
-            onSuccess()
+            val response = poll() ?: return
+            onSuccess(response)
             listener.onChanges(response)
-            version = maxOf(version, response.version)
         }
     }
 
+    /** The next response; null after a failure or an interruption. */
+    private suspend fun poll(): FeedResponse? = coroutineScope {
+        val call = async { feed.changes(table, readUpTo, settings.pollTimeout()) }
+        select {
+            call.onAwait { result -> result.fold({ onFailure(it) }, { it }) }
+            interruptions.onReceive {
+                call.cancel()
+                onInterrupted(it)
+            }
+        }
+    }
+
+    private fun onInterrupted(interruption: Interruption): FeedResponse? {
+        feed.closeIdleConnections()
+        if (interruption == Interruption.CHANGE_SEEN_ELSEWHERE) {
+            events.record(PlatformEvent.CHANGE_MISSED, "table" with table, "readUpTo" with readUpTo)
+        }
+        return null
+    }
+
     private fun onFailure(failure: FeedFailure): FeedResponse? {
         when (failure) {
             is FeedFailure.HistoryLost -> events.record(PlatformEvent.HISTORY_LOST, "table" with table)
@@ -76,7 +137,9 @@
         return null
     }
 
-    private fun onSuccess() {
+    private fun onSuccess(response: FeedResponse) {
+        readUpTo = maxOf(readUpTo, response.version)
+        newestChange = maxOf(newestChange, response.newestChange)
         health.recordSuccess(clock.now())
         backoff = settings.firstBackoff
     }
--- a/src/main/kotlin/org/persimmonrelay/platform/StoreHealth.kt
+++ b/src/main/kotlin/org/persimmonrelay/platform/StoreHealth.kt
@@ -6,15 +6,24 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Tracks whether the store responds to this node. Confined to the control thread. */
-public class StoreHealth(private val events: EventSink, private val onRecovered: (Moment) -> Unit) {
+/**
+ * Tracks whether the store responds to this node. An outage counts from the last successful call, since the first
+ * failed one may come long after its start. Calls [onLost] when an outage is noticed. Confined to the control thread.
+ */
+public class StoreHealth(
+    private val events: EventSink,
+    private val onLost: () -> Unit = {},
+    private val onRecovered: (Moment) -> Unit,
+) {
     private var unavailableSince: Moment? = null
+    private var lastSuccess: Moment? = null
 
     /** True while the store has been unavailable for so long that servers' entries may have expired meanwhile. */
     public fun entriesMayHaveExpired(now: Moment): Boolean = unavailableSince?.let { now - it >= MIN_EXPIRY } ?: false
 
     /** Records that a call succeeded; calls [onRecovered] when entries may have expired during the outage. */
     public fun recordSuccess(now: Moment) {
+        lastSuccess = now
         val since = unavailableSince ?: return
         unavailableSince = null
         events.record(PlatformEvent.STORE_REGAINED, "awayMillis" with (now - since).inWholeMilliseconds)
@@ -24,8 +33,9 @@
     /** Records that a call failed; the first failure starts the outage. */
     public fun recordFailure(message: String, now: Moment) {
         if (unavailableSince != null) return
-        unavailableSince = now
+        unavailableSince = lastSuccess ?: now
         events.record(PlatformEvent.STORE_LOST, "why" with message)
+        onLost()
     }
 
     private companion object {
--- a/src/main/kotlin/org/persimmonrelay/usage/UsageRecorder.kt
+++ b/src/main/kotlin/org/persimmonrelay/usage/UsageRecorder.kt
@@ -21,7 +21,7 @@
  * Counts usage on one node and stores it as segments.
  *
  * A segment that can't be stored stays in memory and is sent again, unchanged, before the next one. If a node is
- * killed, its counts since the last flush are not billed: at most those of one [UsageSettings.flushEvery].
+ * killed, its counts since the last flush are not billed.
  */
 public class UsageRecorder(
     private val table: ReliableTable,
@@ -29,6 +29,7 @@
     private val incarnation: Incarnation,
     private val events: EventSink = EventSink.NONE,
     private val settings: UsageSettings = UsageSettings(),
+    private val flushSchedule: FlushSchedule = FlushSchedule.every(settings.flushEvery),
 ) : UsageMeter {
     private val accumulator = UsageAccumulator()
     private val keys = UsageKeys(UsageKeys.shardOf(incarnation, settings.shards))
@@ -42,11 +43,11 @@
         accumulator.record(windowStartOf(clock.wallMillis()), workspace, promptTokens, outputTokens)
     }
 
-    /** Flushes every [UsageSettings.flushEvery] until [scope] ends. */
+    /** Flushes by the schedule until [scope] ends. */
     public fun start(scope: CoroutineScope) {
         scope.launch {
             while (true) {
-                delay(settings.flushEvery)
+                delay(flushSchedule.timeToNextFlush(clock.wallMillis()))
                 if (!flush()) events.record(UsageEvent.SEGMENT_LATE, "segments" with pending.size)
             }
         }
--- a/src/main/kotlin/org/persimmonrelay/usage/WindowCloser.kt
+++ b/src/main/kotlin/org/persimmonrelay/usage/WindowCloser.kt
@@ -39,6 +39,11 @@
     private val keys = UsageKeys(shard)
     private val merger = SegmentMerger(table, duty, keys, settings.maxSegmentsPerWindow, newOperation)
 
+    /** What this node has already done under the lease with epoch [epoch]; saves reads that can find nothing new. */
+    private data class Progress(val epoch: Long, val closedThrough: Long?, val hasPending: Boolean)
+
+    private var progress = Progress(epoch = 0, closedThrough = null, hasPending = true)
+
     /** Competes for the duty's lease and closes and reports windows while this node holds it, until [scope] ends. */
     public fun start(scope: CoroutineScope) {
         leases.compete(scope, duty)
@@ -52,11 +57,22 @@
 
     /** Closes due windows and reports closed ones. */
     internal suspend fun pass(heldLease: HeldLease) {
-        closeDueWindows(heldLease)
+        if (progress.epoch != heldLease.epoch) progress = Progress(heldLease.epoch, null, hasPending = true)
+        if (mayBeDue(clock.wallMillis())) closeDueWindows(heldLease)
+        if (!progress.hasPending) return
         if (heldLease.isExclusive) return reportPending(heldLease)
         events.record(UsageEvent.REPORTS_HELD_BACK, "shard" with shard, "for" with heldLease.unresolved)
     }
 
+    /** False while the latest window that ended before the grace time was closed by this node. */
+    private fun mayBeDue(now: Long): Boolean =
+        progress.closedThrough?.let { latestDue(now - settings.grace.inWholeMilliseconds) > it } ?: true
+
+    /** Start of the latest window that ended by [dueBefore]. */
+    private fun latestDue(dueBefore: Long): Long = settings.window.inWholeMilliseconds.let {
+        dueBefore - Math.floorMod(dueBefore, it) - it
+    }
+
     private suspend fun closeDueWindows(heldLease: HeldLease) {
         val dueBefore = dueBefore(clock.wallMillis()) ?: return
         val read = readSegments() ?: return
@@ -83,9 +99,7 @@
     /** Starts of those windows of [segments], and of the latest due one, that are closed; null when a read failed. */
     private suspend fun closedWindows(segments: List<StoredSegment>, dueBefore: Long): Set<Long>? {
         if (segments.isEmpty()) return emptySet()
-        val millis = settings.window.inWholeMilliseconds
-        val latestDue = dueBefore - Math.floorMod(dueBefore, millis) - millis
-        val starts = (segments.map { it.segment.windowStart } + latestDue).distinct()
+        val starts = (segments.map { it.segment.windowStart } + latestDue(dueBefore)).distinct()
         val byKey = starts.associateBy { keys.window(keys.windowName(it)) }
         val rows = table.read(byKey.keys.toList()).getOrNull() ?: return null
         return rows.mapNotNull { byKey[it.key] }.toSet()
@@ -108,6 +122,17 @@
             ) + consumed.map { Write.Delete(it.key) },
         )
         val closed = table.commit(transaction) is CommitOutcome.Committed
+        progress = progress.copy(
+            closedThrough = if (closed) {
+                maxOf(
+                    plan.windowStart,
+                    progress.closedThrough ?: 0,
+                )
+            } else {
+                progress.closedThrough
+            },
+            hasPending = true,
+        )
         if (closed) events.record(UsageEvent.WINDOW_CLOSED, "window" with window, "segments" with consumed.size)
     }
 
@@ -116,6 +141,7 @@
         for (row in pending) {
             if (!report(heldLease, row)) return
         }
+        progress = progress.copy(hasPending = false)
     }
 
     private suspend fun report(heldLease: HeldLease, pending: Row): Boolean {
--- a/src/test/kotlin/org/persimmonrelay/backend/ServerChooserTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/backend/ServerChooserTest.kt
@@ -103,7 +103,7 @@
         val near = server("near", domain = "inland-a")
         val servers = listOf(server("far", domain = "puget-a"), near)
 
-        val decode = chooser.chooseDecode(query(prompt("history", 1)), servers, SHAPE, near.domain)
+        val decode = chooser.chooseDecode(query(prompt("history", 1)), ServerCandidates.of(servers), SHAPE, near.domain)
 
         assertEquals(near, assertIs<Placement.Chosen>(decode).server)
     }
--- a/src/test/kotlin/org/persimmonrelay/forward/ForwardFixture.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/ForwardFixture.kt
@@ -88,7 +88,7 @@
 
                     override fun nodeCount() = 1
 
-                    override fun mayPollReports(server: ServerId, maxPollers: Int) = true
+                    override fun mayPollReports(server: BackendServer, maxPollers: Int) = true
                 },
                 clock = SystemClock,
                 events = { code, fields -> recorded += code to fields.toList() },
--- a/src/test/kotlin/org/persimmonrelay/load/LoadExchangeTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/load/LoadExchangeTest.kt
@@ -10,13 +10,16 @@
 import org.persimmonrelay.backend.PromptPart
 import org.persimmonrelay.backend.RequestProfile
 import org.persimmonrelay.backend.ServerChooser
+import org.persimmonrelay.backend.ServerWork
 import org.persimmonrelay.clock.ManualClock
 import org.persimmonrelay.http.ServerAddress
 import org.persimmonrelay.identity.FailureDomain
 import org.persimmonrelay.identity.Incarnation
 import org.persimmonrelay.identity.NodeId
 import org.persimmonrelay.membership.UdpPeer
+import org.persimmonrelay.platform.NewestChanges
 import org.persimmonrelay.timeline.EventCode
+import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNotEquals
@@ -86,7 +89,7 @@
         val far = UdpPeer(NodeId("far"), FailureDomain("inland-a"), ServerAddress("127.0.0.1", 9))
         val near = UdpPeer(NodeId("near"), PLACE.domain, ServerAddress("127.0.0.1", 8))
 
-        assertEquals(LoadReportRecipients(listOf(near), listOf(far)), loadReportRecipients(PLACE, listOf(far, near)))
+        assertEquals(LoadReportRecipients(listOf(near), listOf(far), 1), recipients(listOf(far, near)))
     }
 
     @Test
@@ -94,12 +97,78 @@
         val far = List(20) { UdpPeer(NodeId("far$it"), FailureDomain("inland-a"), ServerAddress("127.0.0.1", 9)) }
         val near = List(5) { UdpPeer(NodeId("near$it"), PLACE.domain, ServerAddress("127.0.0.1", 8)) }
 
-        assertEquals(LoadReportRecipients(near, emptyList()), loadReportRecipients(PLACE, far + near))
+        assertEquals(LoadReportRecipients(near, emptyList(), 5), recipients(far + near))
     }
 
+    @Test
+    fun `with very many nodes in the region each reports to a bounded number and is heard by about as many`() {
+        val nodes = List(100) { UdpPeer(NodeId("node$it"), PLACE.domain, ServerAddress("127.0.0.1", it + 1)) }
+
+        val heard = nodes.flatMap { self -> loadReportRecipients(self.node, PLACE, nodes - self).near }
+
+        assertTrue(nodes.all { self -> loadReportRecipients(self.node, PLACE, nodes - self).near.size == 32 })
+        assertTrue(heard.groupingBy { it.node }.eachCount().values.all { it in 16..50 })
+    }
+
+    @Test
+    fun `a report tells which changes of the store its node has read`() {
+        a.feeds.newestChanges = NewestChanges(configuration = 7, backendServers = 9)
+
+        a.exchange.sendReport(isFarRound = true, clock.now())
+
+        assertEquals(listOf(NewestChanges(7, 9)), b.feeds.seenElsewhere)
+    }
+
+    @Test
+    fun `a report with impossible counts is ignored and logged`() {
+        val before = b.choose()
+        val instance = servers.first().instance
+        val work = listOf(ServerWork(instance.id, instance.startedAtMillis, running = -5, tokensAhead = -1_000_000))
+
+        b.exchange.receive(NodeLoadReport(NodeId("a"), Incarnation("a-1"), 1, work).encode())
+
+        assertEquals(before, b.choose())
+        assertEquals(1, events.count { it == LoadEvent.REPORT_UNREADABLE })
+    }
+
+    @Test
+    fun `damaged datagrams never fail and change no choice`() {
+        val first = a.choose()
+        repeat(4) { a.send(first) }
+        val intact = NodeLoadReport(NodeId("a"), Incarnation("a-1"), 1, a.chooser.work()).encode()
+        val random = Random(1)
+        val node = Node("b")
+        repeat(2_000) {
+            val damaged = intact.copyOf(random.nextInt(intact.size + 1))
+            repeat(random.nextInt(4)) {
+                if (damaged.isNotEmpty()) {
+                    damaged[random.nextInt(damaged.size)] =
+                        random.nextInt().toByte()
+                }
+            }
+            node.exchange.receive(damaged)
+        }
+
+        assertTrue(events.count { it == LoadEvent.REPORT_UNREADABLE } <= 1)
+    }
+
+    @Test
+    fun `a restarted node is heard from its first report on`() {
+        val first = a.choose()
+        repeat(3) { a.exchange.sendReport(isFarRound = true, clock.now().also { clock.advance(2.seconds) }) }
+        val work = Node("a").apply { repeat(4) { send(first) } }.chooser.work()
+
+        b.exchange.receive(NodeLoadReport(NodeId("a"), Incarnation("a-2"), 1, work).encode())
+
+        assertNotEquals(first, b.choose())
+    }
+
+    private fun recipients(peers: List<UdpPeer>) = loadReportRecipients(NodeId("self"), PLACE, peers)
+
     private inner class Node(name: String) {
         val chooser = ServerChooser(PLACE)
         val sent = ArrayList<ByteArray>()
+        val feeds = FakeFollowedFeeds()
         private val other = if (name == "a") "b" else "a"
         val exchange: LoadExchange = LoadExchange(
             self = NodeId(name),
@@ -115,8 +184,10 @@
                 LoadReportRecipients(
                     listOf(UdpPeer(NodeId(other), PLACE.domain, ServerAddress("127.0.0.1", 1))),
                     emptyList(),
+                    nodesInRegion = 1,
                 )
             },
+            feeds = feeds,
             clock = clock,
             events = { code, _ -> events += code },
         )
