Mend two tests on real sockets that were listed as red

ServiceHandlerTest, 200 in place of 502. Traced: the stand-in service, not the product. Its response was lost by an error thrown inside Ktor's body writer; when nothing of the body had been written yet, Ktor ended the chunked body in order, a complete and empty 200. Ruled out by the trace: an answer of one attempt given as another's.

StreamForwardingTest, the freed handle. The product frees the handle by a call of its own; the test looked for it at once.

--- a/src/main/kotlin/org/persimmonrelay/standin/StandInPlainServer.kt
+++ b/src/main/kotlin/org/persimmonrelay/standin/StandInPlainServer.kt
@@ -12,7 +12,6 @@
 import io.ktor.server.request.receiveText
 import io.ktor.server.request.uri
 import io.ktor.server.response.header
-import io.ktor.server.response.respondBytesWriter
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.route
 import io.ktor.server.routing.routing
@@ -25,6 +24,7 @@
                 host = LOOPBACK
                 port = this@StandInPlainServer.port
             }
+            channelPipelineConfig = { addAfter(KTOR_CODEC, "lost-response", LostResponseHandler()) }
         }) { module() }
 
     /** `ip:port`; set by [start]. */
@@ -55,8 +55,8 @@
             try {
                 service.run(request)
             } catch (e: AnswerLost) {
-                // An error within the body closes the connection; an error thrown here would produce an HTTP response.
-                return call.respondBytesWriter { throw e }
+                call.response.header(LostResponseHandler.MARKER, e.message.orEmpty())
+                return call.respondText("")
             }
         call.response.header("X-Served-By", service.name)
         call.respondText(result.body, status = HttpStatusCode.fromValue(result.status))
@@ -66,5 +66,8 @@
         const val QUIET_PERIOD_MILLIS = 50L
         const val STOP_TIMEOUT_MILLIS = 500L
         const val LOOPBACK = "127.0.0.1"
+
+        /** Name of the handler by which Ktor encodes responses. */
+        const val KTOR_CODEC = "codec"
     }
 }
--- a/src/test/kotlin/org/persimmonrelay/entry/ServiceHandlerTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/entry/ServiceHandlerTest.kt
@@ -8,7 +8,6 @@
 import io.ktor.client.statement.bodyAsText
 import io.ktor.http.HttpMethod
 import kotlinx.coroutines.CoroutineScope
-import org.junit.jupiter.api.Tag
 import org.persimmonrelay.catalog.PlainService
 import org.persimmonrelay.catalog.Workspace
 import org.persimmonrelay.standin.StandInPlainServer
@@ -61,7 +60,6 @@
     }
 
     @Test
-    @Tag("known-red")
     fun `a lost answer to a call that may not be repeated is unknown and never sent again`() = withService { f ->
         booking.faults.loseNextResponses = 1
 
--- a/src/test/kotlin/org/persimmonrelay/forward/ForwardFixture.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/ForwardFixture.kt
@@ -5,7 +5,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
-import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
 import org.persimmonrelay.adapter.EngineReportCodec
 import org.persimmonrelay.adapter.PlatformHeaderCodec
 import org.persimmonrelay.backend.BackendDirectory
@@ -39,6 +39,7 @@
 import java.net.Socket
 import java.net.SocketException
 import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -140,10 +141,16 @@
     }
 
     /** Waits until [code] has been recorded [count] times; fails after the read timeout. */
-    fun awaitEvents(code: EventCode, count: Int) = runBlocking {
-        withTimeout(READ_TIMEOUT_MILLIS.milliseconds) {
-            while (recorded.count { it.first == code } < count) delay(POLL)
+    fun awaitEvents(code: EventCode, count: Int) =
+        awaitTrue("$code was recorded $count times") { recorded.count { it.first == code } >= count }
+
+    /** Waits until [condition] holds; fails after the read timeout. */
+    fun awaitTrue(what: String, condition: () -> Boolean) = runBlocking {
+        val holds = withTimeoutOrNull(READ_TIMEOUT_MILLIS.milliseconds) {
+            while (!condition()) delay(POLL)
+            true
         }
+        assertTrue(holds == true, "Not within the timeout: $what")
     }
 
     fun connect() = Socket("127.0.0.1", port).apply { soTimeout = READ_TIMEOUT_MILLIS }
--- a/src/test/kotlin/org/persimmonrelay/forward/StreamForwardingTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/StreamForwardingTest.kt
@@ -1,6 +1,5 @@
 package org.persimmonrelay.forward
 
-import org.junit.jupiter.api.Tag
 import org.persimmonrelay.backend.EngineStage
 import org.persimmonrelay.forward.ForwardFixture.Companion.RESET
 import org.persimmonrelay.forward.ForwardFixture.Companion.request
@@ -8,7 +7,6 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
-import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -79,7 +77,6 @@
     }
 
     @Test
-    @Tag("known-red")
     fun `when a KV handle has expired, another server prefills the prompt itself and the handle is freed`() {
         val prefillServer = ScriptedServer { request, socket ->
             socket.writeText(responseTo(request, "200 OK", """{"kv_handle":"h1","tokens":900,"version":1}"""))
@@ -94,7 +91,8 @@
         val stages = listOf(EngineStage.PREFILL, EngineStage.DECODE, EngineStage.DECODE)
         ForwardFixture(nonResumable, listOf(prefillServer, decodeServer, decodeServer), stages).use { node ->
             assertEquals(listOf(1), ids(node.exchange(prompt("r1"))))
-            assertNotNull(prefillServer.requests.firstOrNull { it.line.startsWith("DELETE") })
+            // The handle is freed by a call of its own, which may end after the caller's response.
+            node.awaitTrue("the handle is freed") { prefillServer.requests.any { it.line.startsWith("DELETE") } }
         }
     }
 
