Refuse what can't be on time while an overload lasts, and learn the wait for transfers

Change: the wait for transfers of KV cache is learned at both ends of the transfer, and requests beyond a decode server's slots are expected to wait. While an overload lasts, requests that would wait longer than their latency target allows are refused at once, with a time to return that is spread; light requests and retries are not. Learned delays are now measured against the time without them, since the average otherwise settles at half of the delay. Usage segments of one flush are stored by one call.

--- a/src/main/kotlin/org/persimmonrelay/backend/InFlightRequest.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/InFlightRequest.kt
@@ -3,13 +3,25 @@
 import org.persimmonrelay.clock.Moment
 import kotlin.time.Duration
 
-/** A request in flight at a server, from sending to its end. Confined to the traffic thread. */
+/** What is learned from the course of a request. */
+internal class LearnedEstimates(
+    val firstToken: FirstTokenTimeModel,
+    val serviceTime: ServiceTimeEstimate,
+    val learnsFirstToken: Boolean,
+    val foundFreeSlot: Boolean,
+)
+
+/**
+ * A request in flight at a server, from sending to its end. [prefilledAt] is the load of the server whose KV cache this
+ * one fetches, if any. Confined to the traffic thread.
+ */
 public class InFlightRequest internal constructor(
     private val load: ServerLoad,
-    private val model: FirstTokenTimeModel,
+    private val estimates: LearnedEstimates,
     private val chosen: Placement.Chosen,
     private val tokensAhead: Int,
-    private val updatesModel: Boolean,
+    private val prefilledAt: ServerLoad?,
+    private val sentAt: Moment,
 ) {
     private var awaitsFirstResponse = true
     private var open = true
@@ -18,14 +30,23 @@
     public fun firstResponse(elapsed: Duration, now: Moment) {
         if (!awaitsFirstResponse) return
         removePendingTokens()
-        if (!updatesModel) return
-        load.recordDelay(elapsed - chosen.expected, now)
-        model.update(tokensAhead, elapsed - (chosen.fetch?.duration ?: Duration.ZERO))
+        val excess = elapsed - (chosen.expected - chosen.learnedDelay)
+        if (estimates.learnsFirstToken) {
+            load.recordDelay(excess, now)
+            estimates.firstToken.update(tokensAhead, elapsed - (chosen.fetch?.duration ?: Duration.ZERO))
+        }
+        // Transfers wait for each other at both ends, and which of the two it was can't be told.
+        prefilledAt?.let {
+            load.recordTransferDelay(excess, now)
+            it.recordTransferDelay(excess, now)
+        }
     }
 
     /** The server sent its complete response, or the caller cancelled before that. */
-    public fun succeeded() {
-        if (close()) load.succeeded()
+    public fun succeeded(now: Moment) {
+        if (!close()) return
+        load.succeeded()
+        if (estimates.foundFreeSlot) estimates.serviceTime.update(now - sentAt)
     }
 
     /** The caller cancelled, or the request timed out for reasons that are not the server's. */
--- a/src/main/kotlin/org/persimmonrelay/backend/Placement.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/Placement.kt
@@ -8,13 +8,15 @@
     /**
      * Sent to [server], where the first part of the response is expected after [expected]. [prefillTokens] of the
      * prompt have to be prefilled there. If [fetch] is not null, the server first copies the start of the prompt's KV
-     * cache from another engine.
+     * cache from another engine. [learnedDelay] is the part of [expected] by which recent responses came later than the
+     * known load explains.
      */
     public data class Chosen(
         val server: BackendServer,
         val expected: Duration,
         val prefillTokens: Int,
         val fetch: PromptCacheFetch? = null,
+        val learnedDelay: Duration = Duration.ZERO,
     ) : Placement
 
     /** Prefill runs at [prefill]; the decode server is chosen after that. The first token is due after [expected]. */
@@ -28,7 +30,16 @@
 public data class PromptCacheFetch(val from: BackendServer, val tokens: Int, val duration: Duration)
 
 /** Why no server gets a request. */
-public enum class RefusalReason { NO_SERVER, TOO_LATE }
+public enum class RefusalReason {
+    /** No server is known that may get it. */
+    NO_SERVER,
+
+    /** No server could start it before its deadline. */
+    TOO_LATE,
+
+    /** It would wait beyond its latency target while the load is above the capacity. */
+    OVERLOAD,
+}
 
 /**
  * Input of a placement decision at [now] for [request]. The first part of the response must be expected within
--- a/src/main/kotlin/org/persimmonrelay/backend/PlacementCosts.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/PlacementCosts.kt
@@ -27,21 +27,38 @@
         affinity: Map<ServerId, Double> = emptyMap(),
     ): ServerOption = servers.map { option(it, work, affinity[it.instance.id] ?: 0.0) }.minBy { it.cost }
 
+    /**
+     * The decode server that gets a prompt's first token soonest after its prefill at [prefillServer]. Transfers of KV
+     * cache wait for each other at both ends.
+     */
+    fun bestDecoder(decoders: List<BackendServer>, prefillServer: BackendServer): ServerOption {
+        val domain = prefillServer.domain
+        val source = NodeLocation(domain, location.regions[domain] ?: location.region, location.regions)
+        val sourceDelay = statistics.load(prefillServer, engine).transferDelay(query.now)
+        return decoders.map {
+            val queue = maxOf(sourceDelay, statistics.load(it, engine).transferDelay(query.now))
+            option(it, ServerWorkKind.DECODE).afterTransfer(source.transferCost(it.domain), queue)
+        }.minBy { it.cost }
+    }
+
     /** [server] for [work], if it has the shared part of the prompt cached with probability [cacheLikelihood]. */
     fun option(server: BackendServer, work: ServerWorkKind, cacheLikelihood: Double = 0.0): ServerOption {
         val load = statistics.load(server, engine)
         val prefill =
             if (request.hasPrompt && work != ServerWorkKind.DECODE) prefill(server, load, cacheLikelihood) else null
+        val delay = if (work == ServerWorkKind.DECODE) ZERO else load.delay(query.now)
+        val queue = delay + if (work == ServerWorkKind.PREFILL) ZERO else slotDelay(server)
         val time = when {
             prefill != null -> prefill.duration
             request.hasPrompt -> HANDOVER
-            else -> queueingDelay(server)
+            else -> ZERO
         }
-        val expected = time + load.delay(query.now)
+        val expected = time + queue
+        val wait = queue + (prefill?.waitForOthers ?: ZERO)
         val cost =
             expected + loadCost(server, work, prefill) + tieBreak(server) + load.failurePenalty +
                 location.sendCost(server.domain)
-        return ServerOption(server, expected, cost, prefill?.tokens ?: 0, prefill?.fetch)
+        return ServerOption(server, expected, wait, delay, cost, prefill?.tokens ?: 0, prefill?.fetch)
     }
 
     /** Prefill of [tokens] after the [pending] tokens of other requests and after the cache transfer of [fetch]. */
@@ -53,6 +70,7 @@
         base: Duration,
     ) {
         val duration = base + (fetch?.duration ?: ZERO)
+        val waitForOthers = perToken * pending
     }
 
     private fun prefill(server: BackendServer, load: ServerLoad, cacheLikelihood: Double): PrefillEstimate {
@@ -97,17 +115,16 @@
             prefill.perToken * late * HEAVY_INTERFERENCE
     }
 
-    private fun queueingDelay(server: BackendServer): Duration {
+    /** Wait until the requests at the server leave a slot. */
+    private fun slotDelay(server: BackendServer): Duration {
         val excess = statistics.running(server) + 1 - server.slots
-        return if (excess <= 0) ZERO else PLAIN_SERVICE_TIME * excess / server.slots.coerceAtLeast(1)
+        return if (excess <= 0) ZERO else statistics.serviceTime(server) * excess / server.slots.coerceAtLeast(1)
     }
 
     private fun tieBreak(server: BackendServer): Duration =
         TIE_BREAK * Math.floorMod(PromptAffinity.rank(request.seed.toString(), server.instance.id), TIE_BREAK_STEPS)
 
     private companion object {
-        val PLAIN_SERVICE_TIME = 80.milliseconds
-
         /** From the end of the prefill to the first token on the decode server. */
         val HANDOVER = 25.milliseconds
 
--- a/src/main/kotlin/org/persimmonrelay/backend/ServerChooser.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/ServerChooser.kt
@@ -1,9 +1,9 @@
 package org.persimmonrelay.backend
 
 import org.persimmonrelay.clock.Moment
-import org.persimmonrelay.identity.FailureDomain
 import org.persimmonrelay.identity.NodeId
 import org.persimmonrelay.route.EngineSpec
+import org.persimmonrelay.route.ServiceId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -17,6 +17,8 @@
  */
 public class ServerChooser(private val location: NodeLocation) {
     private val statistics = ServerStatistics()
+    private val overload = HashMap<ServiceId, OverloadDetector>()
+    private val requestSizes = HashMap<ServiceId, RequestSizes>()
 
     /** Chooses among [servers], the servers of the request's service that may get new requests. */
     public fun choose(query: PlacementQuery, servers: List<BackendServer>, engine: EngineSpec?): Placement =
@@ -25,70 +27,104 @@
     /** Chooses among the preferred servers; among all when none of the preferred ones is good enough. */
     public fun choose(query: PlacementQuery, candidates: ServerCandidates, engine: EngineSpec?): Placement {
         statistics.expirePeerWork(query.now)
-        val preferred = chooseAmong(candidates.preferred, query, engine)
-        if (!candidates.canWiden || isGoodEnough(preferred, query)) return preferred
-        val widened = chooseAmong(candidates.all, query, engine)
-        return if (widened is Placement.Refused) preferred else widened
+        return admit(widen(candidates, query) { chooseAmong(it, query, engine) }, query)
     }
 
-    private fun isGoodEnough(placement: Placement, query: PlacementQuery): Boolean = when (placement) {
-        is Placement.Chosen -> placement.expected <= query.latencyTarget * GOOD_ENOUGH_SHARE
-        is Placement.Split -> placement.expected <= query.latencyTarget * GOOD_ENOUGH_SHARE
-        is Placement.Refused -> false
+    /** The decision of [choose] among the preferred servers, or among all when that is not good enough. */
+    private fun widen(
+        candidates: ServerCandidates,
+        query: PlacementQuery,
+        choose: (List<BackendServer>) -> Decision,
+    ): Decision {
+        val preferred = choose(candidates.preferred)
+        val isGoodEnough =
+            preferred.placement !is Placement.Refused && preferred.expected <= query.latencyTarget * GOOD_ENOUGH_SHARE
+        if (!candidates.canWiden || isGoodEnough) return preferred
+        val widened = choose(candidates.all)
+        return if (widened.placement is Placement.Refused) preferred else widened
+    }
+
+    /** Refuses a first attempt that would wait too long during a lasting overload. */
+    private fun admit(decision: Decision, query: PlacementQuery): Placement {
+        if (decision.placement is Placement.Refused || query.excluded.isNotEmpty()) return decision.placement
+        val service = query.request.service
+        val detector = overload.getOrPut(service) { OverloadDetector() }
+        detector.record(decision.wait, query.latencyTarget, query.now)
+        val isLight = requestSizes.getOrPut(service) { RequestSizes() }.isLight(query.request)
+        if (isLight || !detector.isTooLong(decision.wait, query.latencyTarget)) return decision.placement
+        return Placement.Refused(RefusalReason.OVERLOAD, retryAfter(decision.wait, query))
+    }
+
+    /** Spread, so that callers refused together do not return together. */
+    private fun retryAfter(wait: Duration, query: PlacementQuery): Duration {
+        val spread = Math.floorMod(query.request.seed, RETRY_SPREAD_STEPS).toDouble() / RETRY_SPREAD_STEPS
+        return (wait * (MIN_RETRY_FACTOR + spread)).coerceIn(RETRY_RANGE)
     }
 
-    private fun chooseAmong(servers: List<BackendServer>, query: PlacementQuery, engine: EngineSpec?): Placement {
+    /** A placement whose first token is expected after [expected], of which [wait] is due to other requests. */
+    private class Decision(val placement: Placement, val expected: Duration, val wait: Duration)
+
+    private fun refused(reason: RefusalReason, retryAfter: Duration) =
+        Decision(Placement.Refused(reason, retryAfter), Duration.INFINITE, Duration.ZERO)
+
+    private fun chooseAmong(servers: List<BackendServer>, query: PlacementQuery, engine: EngineSpec?): Decision {
         val usable = healthy(servers, query, engine)
         val (prefillers, decoders) = usable.partition { it.stage == EngineStage.PREFILL }
-        if (decoders.isEmpty()) return Placement.Refused(RefusalReason.NO_SERVER, NO_SERVER_RETRY_AFTER)
+        if (decoders.isEmpty()) return refused(RefusalReason.NO_SERVER, NO_SERVER_RETRY_AFTER)
         val costs = PlacementCosts(query, engine, statistics, location, holders(usable, query, engine))
         // Where there are prefill servers, shared prompts are cached on those rather than on decode servers.
         val affinity = if (prefillers.isEmpty()) PromptAffinity.of(query.request, decoders) else emptyMap()
         val full = costs.best(decoders, ServerWorkKind.FULL, affinity)
         val split = if (maySplit(query, prefillers)) split(prefillers, decoders, costs, query.request) else null
-        if (split != null && split.cost < full.cost) return inTime(split.placement, split.placement.expected, query)
-        return inTime(full.placement(), full.expected, query)
+        val best = if (split != null && split.cost < full.cost) split.decision() else full.decision()
+        if (best.expected <= query.maxStartDelay) return best
+        return refused(RefusalReason.TOO_LATE, (best.expected - query.maxStartDelay).coerceIn(RETRY_RANGE))
     }
 
-    /** Chooses the decode server for a prompt whose prefill ran in [prefillDomain]. */
+    private fun ServerOption.decision() = Decision(placement(), expected, wait)
+
+    /** Chooses the decode server for a prompt whose prefill ran at [prefillServer]. */
     public fun chooseDecode(
         query: PlacementQuery,
         candidates: ServerCandidates,
         engine: EngineSpec?,
-        prefillDomain: FailureDomain,
+        prefillServer: BackendServer,
     ): Placement {
         statistics.expirePeerWork(query.now)
-        val preferred = chooseDecodeAmong(candidates.preferred, query, engine, prefillDomain)
-        if (!candidates.canWiden || isGoodEnough(preferred, query)) return preferred
-        val widened = chooseDecodeAmong(candidates.all, query, engine, prefillDomain)
-        return if (widened is Placement.Refused) preferred else widened
-    }
-
-    private fun chooseDecodeAmong(
-        servers: List<BackendServer>,
-        query: PlacementQuery,
-        engine: EngineSpec?,
-        prefillDomain: FailureDomain,
-    ): Placement {
-        val decoders = healthy(servers, query, engine).filter { it.stage != EngineStage.PREFILL }
-        if (decoders.isEmpty()) return Placement.Refused(RefusalReason.NO_SERVER, NO_SERVER_RETRY_AFTER)
-        return bestDecoder(decoders, PlacementCosts(query, engine, statistics, location, holders = null), prefillDomain)
-            .placement()
+        return widen(candidates, query) { servers ->
+            val decoders = healthy(servers, query, engine).filter { it.stage != EngineStage.PREFILL }
+            val costs = PlacementCosts(query, engine, statistics, location, holders = null)
+            if (decoders.isEmpty()) {
+                refused(RefusalReason.NO_SERVER, NO_SERVER_RETRY_AFTER)
+            } else {
+                costs.bestDecoder(decoders, prefillServer).decision()
+            }
+        }.placement
     }
 
-    /** Records that the request was sent to the chosen server; the caller reports its course to the returned object. */
+    /**
+     * Records that the request was sent to the chosen server; the caller reports its course to the returned object.
+     * [prefillServer] is the server from which the chosen one fetches the prompt's KV cache, if any.
+     */
     public fun sent(
         chosen: Placement.Chosen,
         request: RequestProfile,
         engine: EngineSpec?,
         now: Moment,
+        prefillServer: BackendServer? = null,
     ): InFlightRequest {
-        val load = statistics.load(chosen.server, engine)
+        val server = chosen.server
+        val load = statistics.load(server, engine)
         load.started(chosen.prefillTokens)
         if (request.hasPrompt) load.cache.recordSent(request.prompt, now)
-        val updatesModel = request.hasPrompt && chosen.prefillTokens > 0
-        val ahead = statistics.tokensAhead(chosen.server)
-        return InFlightRequest(load, statistics.model(chosen.server), chosen, ahead, updatesModel)
+        val estimates = LearnedEstimates(
+            firstToken = statistics.model(server),
+            serviceTime = statistics.serviceTimeEstimate(server),
+            learnsFirstToken = request.hasPrompt && chosen.prefillTokens > 0,
+            foundFreeSlot = statistics.running(server) <= server.slots,
+        )
+        val ahead = statistics.tokensAhead(server)
+        return InFlightRequest(load, estimates, chosen, ahead, prefillServer?.let { statistics.load(it, engine) }, now)
     }
 
     /** The engine [server] reported changes of its prompt cache. */
@@ -119,16 +155,13 @@
     /** Requests of all nodes at [server], as far as their reports are known. */
     public fun running(server: BackendServer): Int = statistics.running(server)
 
-    private class SplitOption(val placement: Placement.Split, val cost: Duration)
+    private class SplitOption(val placement: Placement.Split, val wait: Duration, val cost: Duration) {
+        fun decision() = Decision(placement, placement.expected, wait)
+    }
 
     private fun maySplit(query: PlacementQuery, prefillers: List<BackendServer>) =
         query.maySplit && prefillers.isNotEmpty() && query.request.promptTokens >= MIN_SPLIT_TOKENS
 
-    private fun inTime(placement: Placement, expected: Duration, query: PlacementQuery): Placement {
-        if (expected <= query.maxStartDelay) return placement
-        return Placement.Refused(RefusalReason.TOO_LATE, (expected - query.maxStartDelay).coerceIn(RETRY_RANGE))
-    }
-
     /** Servers that are not avoided after failures; all usable ones when every one is avoided. */
     private fun healthy(
         servers: List<BackendServer>,
@@ -156,27 +189,19 @@
         costs: PlacementCosts,
         request: RequestProfile,
     ): SplitOption {
-        val prefill = costs.best(prefillers, ServerWorkKind.PREFILL, PromptAffinity.of(request, prefillers))
-        val decode = bestDecoder(decoders, costs, prefill.server.domain)
-        val expected = prefill.expected + decode.expected
-        return SplitOption(Placement.Split(prefill.placement(), expected), prefill.cost + decode.cost)
-    }
-
-    private fun bestDecoder(
-        decoders: List<BackendServer>,
-        costs: PlacementCosts,
-        prefillDomain: FailureDomain,
-    ): ServerOption {
-        val source = NodeLocation(prefillDomain, location.regions[prefillDomain] ?: location.region, location.regions)
-        return decoders
-            .map { costs.option(it, ServerWorkKind.DECODE).afterTransfer(duration = source.transferCost(it.domain)) }
-            .minBy { it.cost }
+        val affinity = PromptAffinity.of(request, prefillers)
+        val prefill = costs.best(prefillers, ServerWorkKind.PREFILL, affinity)
+        val decode = costs.bestDecoder(decoders, prefill.server)
+        val placement = Placement.Split(prefill.placement(), prefill.expected + decode.expected)
+        return SplitOption(placement, prefill.wait + decode.wait, prefill.cost + decode.cost)
     }
 
     private companion object {
         val NO_SERVER_RETRY_AFTER = 700.milliseconds
         val RETRY_RANGE = 300.milliseconds..2_000.milliseconds
         const val MIN_SPLIT_TOKENS = 256
+        const val RETRY_SPREAD_STEPS = 64
+        const val MIN_RETRY_FACTOR = 0.5
 
         /** Share of the latency target within which a preferred server must start for the others not to be looked at. */
         const val GOOD_ENOUGH_SHARE = 0.5
--- a/src/main/kotlin/org/persimmonrelay/backend/ServerLoad.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/ServerLoad.kt
@@ -5,7 +5,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.DurationUnit
 
 /** Load and health of one server instance, from this node's requests to it. Confined to the traffic thread. */
 internal class ServerLoad(kvTokens: Long) {
@@ -19,8 +18,8 @@
     var tokensAhead = 0
         private set
 
-    private var excessMillis = 0.0
-    private var excessAt = Moment.ZERO
+    private val delays = DecayingDelay()
+    private val transferDelays = DecayingDelay()
     private var failureShare = 0.0
     private var failuresInRow = 0
     private var avoidedUntil = Moment.ZERO
@@ -39,14 +38,16 @@
     }
 
     /** The first token took [excess] longer than expected; negative when it came earlier. */
-    fun recordDelay(excess: Duration, now: Moment) {
-        val latest = excess.toDouble(DurationUnit.MILLISECONDS).coerceIn(-MAX_EXCESS_MILLIS, MAX_EXCESS_MILLIS)
-        excessMillis = currentExcess(now) * (1 - GAIN) + latest * GAIN
-        excessAt = now
-    }
+    fun recordDelay(excess: Duration, now: Moment) = delays.record(excess, now)
 
     /** How much longer than expected responses of this server take; decays with time. */
-    fun delay(now: Moment): Duration = currentExcess(now).coerceAtLeast(0.0).milliseconds
+    fun delay(now: Moment): Duration = delays.at(now)
+
+    /** The first token after a transfer of KV cache from or to this server came [excess] later than expected. */
+    fun recordTransferDelay(excess: Duration, now: Moment) = transferDelays.record(excess, now)
+
+    /** How much longer than expected transfers of KV cache from and to this server take; decays with time. */
+    fun transferDelay(now: Moment): Duration = transferDelays.at(now)
 
     fun succeeded() {
         failureShare *= 1 - GAIN
@@ -82,17 +83,10 @@
             now + minOf(MAX_AVOIDANCE, BASE_AVOIDANCE * 2.0.pow(failuresInRow.coerceAtMost(MAX_DOUBLINGS)))
     }
 
-    private fun currentExcess(now: Moment): Double {
-        val age = (now - excessAt).toDouble(DurationUnit.SECONDS)
-        return excessMillis * 0.5.pow(age / HALF_LIFE_SECONDS)
-    }
-
     private companion object {
         /** Other nodes' prompts fill the rest of an engine's KV cache. */
         const val OWN_SHARE_OF_CACHE = 0.4
         const val GAIN = 0.2
-        const val HALF_LIFE_SECONDS = 1.5
-        const val MAX_EXCESS_MILLIS = 3_000.0
         const val FAILURE_PENALTY_MILLIS = 600.0
         const val FAILURES_TO_AVOID = 3
         const val MAX_DOUBLINGS = 4
--- a/src/main/kotlin/org/persimmonrelay/backend/ServerStatistics.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/ServerStatistics.kt
@@ -4,11 +4,13 @@
 import org.persimmonrelay.identity.NodeId
 import org.persimmonrelay.route.EngineSpec
 import org.persimmonrelay.route.ServiceId
+import kotlin.time.Duration
 
 /** Load, response times and cache contents of servers, by this node's requests and by reports of engines and nodes. */
 internal class ServerStatistics {
     private val loads = HashMap<ServerInstance, ServerLoad>()
     private val peers = PeerWork()
+    private val serviceTimes = HashMap<Pair<ServiceId, EngineStage?>, ServiceTimeEstimate>()
     private val models = HashMap<Pair<ServiceId, EngineStage?>, FirstTokenTimeModel>()
 
     /** The load of [server] by this node's requests. */
@@ -19,6 +21,12 @@
     fun model(server: BackendServer): FirstTokenTimeModel =
         models.getOrPut(server.service to server.stage) { FirstTokenTimeModel() }
 
+    /** Time from the sending of a request to its end at servers like [server], when a slot is free. */
+    fun serviceTime(server: BackendServer): Duration = serviceTimeEstimate(server).mean
+
+    fun serviceTimeEstimate(server: BackendServer): ServiceTimeEstimate =
+        serviceTimes.getOrPut(server.service to server.stage) { ServiceTimeEstimate() }
+
     /** Prompt tokens of all nodes' requests at [server] that have no first token yet. */
     fun tokensAhead(server: BackendServer): Int =
         (loads[server.instance]?.tokensAhead ?: 0) + peers.tokensAhead(server.instance)
--- a/src/main/kotlin/org/persimmonrelay/forward/RequestExecution.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/RequestExecution.kt
@@ -1,5 +1,6 @@
 package org.persimmonrelay.forward
 
+import org.persimmonrelay.backend.BackendServer
 import org.persimmonrelay.backend.Placement
 import org.persimmonrelay.backend.PlacementQuery
 import org.persimmonrelay.backend.RefusalReason
@@ -78,10 +79,10 @@
                     query(clock.now()),
                     candidates(),
                     request.engine,
-                    prefillServer.domain,
+                    prefillServer,
                 )
             if (decode !is Placement.Chosen) return AttemptOutcome.NotRun("no-maker", reachedServer = false)
-            val outcome = attempt(decode, ServerTask.Decode(prefill.handle))
+            val outcome = attempt(decode, ServerTask.Decode(prefill.handle), prefillServer)
             handleUsed = outcome is AttemptOutcome.Delivered
             return outcome
         } finally {
@@ -89,8 +90,13 @@
         }
     }
 
-    private suspend fun attempt(chosen: Placement.Chosen, task: ServerTask): AttemptOutcome {
-        val inFlight = dependencies.chooser.sent(chosen, request.profile, request.engine, clock.now())
+    private suspend fun attempt(
+        chosen: Placement.Chosen,
+        task: ServerTask,
+        prefillServer: BackendServer? = null,
+    ): AttemptOutcome {
+        val now = clock.now()
+        val inFlight = dependencies.chooser.sent(chosen, request.profile, request.engine, now, prefillServer)
         val attempt =
             ServerAttempt(
                 attemptDependencies,
--- a/src/main/kotlin/org/persimmonrelay/forward/ResponseDelivery.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ResponseDelivery.kt
@@ -50,7 +50,7 @@
         val response =
             CallerResponse(head.status, dependencies.headerCodec.callerHeaders(head.headers), body, closesConnection)
         if (head.status < FIRST_SERVER_ERROR && head.status !in NOT_RUN_STATUSES) {
-            inFlight.succeeded()
+            inFlight.succeeded(dependencies.clock.now())
             exchange.respond(response)
             return AttemptOutcome.Delivered(head.status)
         }
@@ -113,7 +113,7 @@
     }
 
     private fun delivered(status: Int): AttemptOutcome {
-        inFlight.succeeded()
+        inFlight.succeeded(dependencies.clock.now())
         exchange.endResponse()
         return AttemptOutcome.Delivered(status)
     }
--- a/src/main/kotlin/org/persimmonrelay/forward/ServerAttempt.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ServerAttempt.kt
@@ -131,7 +131,7 @@
             ?.let { dependencies.headerCodec.parseKvHandle(server.address, it.bytes) }
             ?: return failed(inFlight, "no handle with ${reader.head.status}")
         inFlight.firstResponse(dependencies.clock.now() - sentAt, dependencies.clock.now())
-        inFlight.succeeded()
+        inFlight.succeeded(dependencies.clock.now())
         return AttemptOutcome.Prefilled(handle)
     }
 
--- a/src/main/kotlin/org/persimmonrelay/usage/UsageRecorder.kt
+++ b/src/main/kotlin/org/persimmonrelay/usage/UsageRecorder.kt
@@ -20,7 +20,8 @@
 /**
  * Counts usage on one node and stores it as segments.
  *
- * A segment that can't be stored stays in memory and is sent again, unchanged, before the next one. If a node is
+ * The segments of a flush are stored together. When that fails, they stay in memory and are sent again, unchanged,
+ * before later ones. If a node is
  * killed, its counts since the last flush are not billed.
  */
 public class UsageRecorder(
@@ -33,7 +34,7 @@
 ) : UsageMeter {
     private val accumulator = UsageAccumulator()
     private val keys = UsageKeys(UsageKeys.shardOf(incarnation, settings.shards))
-    private val pending = ArrayDeque<Segment>()
+    private val pending = ArrayDeque<List<Segment>>()
     private val flushLock = Mutex()
     private var sequence = 0L
     private var writerVersion = 0L
@@ -67,32 +68,30 @@
 
     /** Moves the counts since the last call into pending segments, one per window. */
     private fun createSegments() {
-        accumulator.drain().forEach { (start, usage) ->
-            if (mergeIntoLast(start, usage)) return@forEach
-            sequence++
-            pending += Segment(incarnation, sequence, start, usage)
-        }
+        val counts = accumulator.drain()
+        if (counts.isEmpty()) return
+        // Bounds memory during an outage. The first pending segments may have been sent and must not change.
+        val last = if (pending.size < 2) emptyList() else pending.removeLast()
+        pending += counts.fold(last) { segments, (start, usage) -> add(segments, start, usage) }
     }
 
-    /** Bounds memory during an outage. The first pending segment may have been sent and must not change. */
-    private fun mergeIntoLast(start: Long, usage: List<WorkspaceUsage>): Boolean {
-        if (pending.size < 2 || pending.last().windowStart != start) return false
-        val last = pending.removeLast()
-        val merged = (last.usage + usage).groupBy { it.workspace }.values.map { it.reduce(::sum) }
-        pending += last.copy(usage = merged)
-        return true
+    private fun add(segments: List<Segment>, start: Long, usage: List<WorkspaceUsage>): List<Segment> {
+        val same = segments.find { it.windowStart == start }
+            ?: return segments + Segment(incarnation, ++sequence, start, usage)
+        val merged = (same.usage + usage).groupBy { it.workspace }.values.map { it.reduce(::sum) }
+        return segments.map { if (it === same) it.copy(usage = merged) else it }
     }
 
-    private suspend fun store(segment: Segment, through: Long): Boolean {
-        val operation = OperationId("usage-${incarnation.value}-${segment.sequence}")
-        return write(operation, through, Write.Put(keys.segment(segment), segment.encode()))
+    private suspend fun store(segments: List<Segment>, through: Long): Boolean {
+        val operation = OperationId("usage-${incarnation.value}-${segments.last().sequence}")
+        return write(operation, through, segments.map { Write.Put(keys.segment(it), it.encode()) })
     }
 
     /** Stores that all counts up to [through] are stored, so that closing a window need not wait for this node. */
     private suspend fun storeProgress(through: Long): Boolean =
-        write(OperationId("usage-${incarnation.value}-none-$through"), through)
+        write(OperationId("usage-${incarnation.value}-none-$through"), through, emptyList())
 
-    private suspend fun write(operation: OperationId, through: Long, vararg writes: Write): Boolean {
+    private suspend fun write(operation: OperationId, through: Long, writes: List<Write>): Boolean {
         val writer = keys.writer(incarnation)
         val condition =
             if (writerVersion == 0L) Condition.Absent(writer) else Condition.VersionIs(writer, writerVersion)
--- a/src/test/kotlin/org/persimmonrelay/backend/ServerChooserTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/backend/ServerChooserTest.kt
@@ -103,7 +103,7 @@
         val near = server("near", domain = "inland-a")
         val servers = listOf(server("far", domain = "puget-a"), near)
 
-        val decode = chooser.chooseDecode(query(prompt("history", 1)), ServerCandidates.of(servers), SHAPE, near.domain)
+        val decode = chooser.chooseDecode(query(prompt("history", 1)), ServerCandidates.of(servers), SHAPE, near)
 
         assertEquals(near, assertIs<Placement.Chosen>(decode).server)
     }
@@ -118,7 +118,7 @@
         val inFlight = chooser.sent(chosen, request, SHAPE, now)
         now += elapsed
         inFlight.firstResponse(elapsed, now)
-        inFlight.succeeded()
+        inFlight.succeeded(now)
     }
 
     private fun prompt(shared: String, own: Int) =
