--- a/src/main/kotlin/org/persimmonrelay/forward/EventStreamSplitter.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/EventStreamSplitter.kt
@@ -5,8 +5,8 @@
 /** One complete event of a stream. [bytes] includes the terminating empty line; [id] is null without a numeric id. */
 public class StreamEvent(public val id: Long?, public val bytes: ByteArray)
 
-/** Splits the bytes of a `text/event-stream` into complete events. */
-public class EventStreamSplitter {
+/** Splits the bytes of a `text/event-stream` into complete events of at most [maxEventBytes]. */
+public class EventStreamSplitter(private val maxEventBytes: Int) {
     private val event = ByteArrayOutputStream()
     private val line = StringBuilder()
     private var id: Long? = null
@@ -16,6 +16,10 @@
     public val hasPartialEvent: Boolean
         get() = event.size() > 0
 
+    /** True when the event that has begun, with empty lines before it, is longer than the limit. */
+    public val isOversized: Boolean
+        get() = event.size() > maxEventBytes
+
     /** Adds [bytes] and returns the events that these complete. */
     public fun feed(bytes: ByteArray): List<StreamEvent> {
         val events = ArrayList<StreamEvent>()
--- a/src/main/kotlin/org/persimmonrelay/forward/ForwardSettings.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ForwardSettings.kt
@@ -8,7 +8,7 @@
  * [minAttemptTimeout], the route's latency target times [latencyTargetFactor], and twice the expected time plus
  * [minAttemptTimeout], but at most after [remainingTimeShare] of the time to the deadline. Between stream events the
  * timeout is the route's pause target times [pauseTargetFactor]. Responses of up to [maxBufferedBytes] bytes are
- * buffered, so that they can be discarded and the request retried.
+ * buffered, so that they can be discarded and the request retried. Events of a stream have at most [maxEventBytes].
  */
 public data class ForwardSettings(
     val connectTimeout: Duration = 400.milliseconds,
@@ -17,8 +17,10 @@
     val pauseTargetFactor: Double = 4.0,
     val remainingTimeShare: Double = 0.55,
     val maxBufferedBytes: Int = DEFAULT_MAX_BUFFERED_BYTES,
+    val maxEventBytes: Int = DEFAULT_MAX_EVENT_BYTES,
 ) {
     private companion object {
         const val DEFAULT_MAX_BUFFERED_BYTES = 256 * 1024
+        const val DEFAULT_MAX_EVENT_BYTES = 256 * 1024
     }
 }
--- a/src/main/kotlin/org/persimmonrelay/forward/ResponseDelivery.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ResponseDelivery.kt
@@ -63,7 +63,10 @@
         exchange.write(start)
         while (true) {
             when (val part = reader.next(null)) {
-                is ResponsePart.Data -> exchange.write(part.bytes)
+                is ResponsePart.Data -> {
+                    exchange.awaitWritable()
+                    exchange.write(part.bytes)
+                }
                 is ResponsePart.End -> return delivered(reader.head.status)
                 else -> return failed("response incomplete after a part was sent")
             }
@@ -71,10 +74,19 @@
     }
 
     private suspend fun stream(reader: ResponseReader, kind: RouteKind.Streaming): AttemptOutcome {
-        val splitter = EventStreamSplitter()
+        val splitter = EventStreamSplitter(dependencies.settings.maxEventBytes)
+        var eventDue = nextEventDue(kind)
         while (true) {
-            when (val part = reader.next(eventTimeout(kind))) {
-                is ResponsePart.Data -> splitter.feed(part.bytes).forEach { forward(it, reader.head) }
+            exchange.awaitWritable()
+            val part = reader.next(eventDue?.let { (it - dependencies.clock.now()).coerceAtLeast(Duration.ZERO) })
+            when (part) {
+                is ResponsePart.Data -> {
+                    val events = splitter.feed(part.bytes)
+                    if (splitter.isOversized) return failed("event over ${dependencies.settings.maxEventBytes} bytes")
+                    events.forEach { forward(it, reader.head) }
+                    // Bytes alone are no progress: a stalled server may send some now and then.
+                    if (events.isNotEmpty()) eventDue = nextEventDue(kind)
+                }
                 is ResponsePart.End -> return streamEnded(reader, splitter)
                 is ResponsePart.Broken ->
                     return failed("stream broken after ${progress.forwardedEvents} events: ${part.reason}")
@@ -84,6 +96,9 @@
         }
     }
 
+    private fun nextEventDue(kind: RouteKind.Streaming): Moment? =
+        eventTimeout(kind)?.let { dependencies.clock.now() + it }
+
     private fun eventTimeout(kind: RouteKind.Streaming): Duration? = when {
         timeout == null -> null
         progress.forwardedEvents == 0 -> timeout
--- a/src/main/kotlin/org/persimmonrelay/http/CallerExchange.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/CallerExchange.kt
@@ -39,9 +39,12 @@
     /** Sends status and headers of a response; send its body with [write] and finish with [endResponse]. */
     public fun startResponse(status: Int, headers: HttpHeaders, framing: CallerFraming)
 
-    /** Sends bytes of the body. */
+    /** Sends bytes of the body; call [awaitWritable] before. */
     public fun write(bytes: ByteArray)
 
+    /** Waits until the caller has taken most of what was sent, so that a slow caller does not fill the memory. */
+    public suspend fun awaitWritable()
+
     /** Ends the response body. */
     public fun endResponse()
 
--- a/src/main/kotlin/org/persimmonrelay/http/CallerHttpConnection.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/CallerHttpConnection.kt
@@ -25,6 +25,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.launch
 import org.persimmonrelay.clock.Clock
 import org.persimmonrelay.clock.Moment
@@ -40,6 +41,7 @@
     private val isDraining: () -> Boolean,
 ) : ChannelInboundHandlerAdapter() {
     private val pending = ArrayDeque<Exchange>()
+    private val writable = Channel<Unit>(Channel.CONFLATED)
     private var partialRequest: HttpRequest? = null
     private var body = ByteArrayOutputStream(0)
     private var running: Job? = null
@@ -88,7 +90,8 @@
             context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
         }
         partialRequest = request
-        body = ByteArrayOutputStream(HttpUtil.getContentLength(request, 0L).toInt())
+        // Grows as bytes arrive: a claimed length must not take memory.
+        body = ByteArrayOutputStream()
         timer().body(context)
     }
 
@@ -135,6 +138,14 @@
         }
     }
 
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        if (context.channel().isWritable) writable.trySend(Unit)
+    }
+
+    private suspend fun awaitWritable() {
+        while (context.channel().isActive && !context.channel().isWritable) writable.receive()
+    }
+
     private fun timer() = context.pipeline().get(RequestTimer::class.java)
 
     override fun channelInactive(context: ChannelHandlerContext) {
@@ -200,6 +211,8 @@
             context.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
         }
 
+        override suspend fun awaitWritable() = this@CallerHttpConnection.awaitWritable()
+
         override fun endResponse() {
             isDone = true
             val written = context.writeAndFlush(DefaultLastHttpContent())
--- a/src/main/kotlin/org/persimmonrelay/http/HttpConnection.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/HttpConnection.kt
@@ -50,7 +50,7 @@
     }
 
     /** Waits for the next part of the response. */
-    public suspend fun receive(): ResponsePart = responses.parts.receive()
+    public suspend fun receive(): ResponsePart = responses.receive()
 
     /** Marks the connection as idle from [now] on, after a complete response with [headers]. */
     public fun responseCompleted(headers: HttpHeaders, now: Moment) {
--- a/src/main/kotlin/org/persimmonrelay/http/ResponseHandler.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/ResponseHandler.kt
@@ -14,14 +14,23 @@
 
 /**
  * Converts data received on a connection to [ResponsePart]s, and closes the connection on invalid data and on data that
- * arrives while no response is expected. Confined to the connection's thread.
+ * arrives while no response is expected. Reading pauses while [MAX_BUFFERED_BYTES] or more have not been received by
+ * [receive]. Confined to the connection's thread.
  */
 internal class ResponseHandler : ChannelInboundHandlerAdapter() {
     val decoder = ResponseDecoder()
-    val parts = Channel<ResponsePart>(Channel.UNLIMITED)
+    private val parts = Channel<ResponsePart>(Channel.UNLIMITED)
+    private var bufferedBytes = 0
+    private var context: ChannelHandlerContext? = null
 
     /** True from the sending of a request to the end of its response. */
     var isResponseExpected = false
+        set(value) {
+            field = value
+            headsSinceRequest = 0
+        }
+
+    private var headsSinceRequest = 0
 
     /** True when the connection must not be used for another request. */
     var isUnusable = false
@@ -31,6 +40,24 @@
     private var wasReset = false
     private var framing = Framing.DELIMITED
 
+    /** Waits for the next part of the response. */
+    suspend fun receive(): ResponsePart {
+        val part = parts.receive()
+        if (part is ResponsePart.Data) {
+            bufferedBytes -= part.bytes.size
+            updateReading()
+        }
+        return part
+    }
+
+    private fun updateReading() {
+        context?.channel()?.config()?.isAutoRead = bufferedBytes < MAX_BUFFERED_BYTES
+    }
+
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        this.context = context
+    }
+
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
             if (message is HttpObject) accept(context, message)
@@ -43,13 +70,15 @@
         when {
             message.decoderResult().isFailure -> failConnection(context, "The server sent an invalid HTTP response.")
             !isResponseExpected -> failConnection(context, "The server sent data without a request.")
-            message is HttpResponse -> head(message)
+            message is HttpResponse -> head(context, message)
             message is HttpContent -> content(message)
         }
     }
 
-    private fun head(response: HttpResponse) {
+    private fun head(context: ChannelHandlerContext, response: HttpResponse) {
         isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        headsSinceRequest++
+        if (headsSinceRequest > MAX_HEADS) return failConnection(context, "The server sent too many responses.")
         if (isInterim) return
         val delimited = HttpUtil.isContentLengthSet(response) ||
             HttpUtil.isTransferEncodingChunked(response) ||
@@ -62,12 +91,18 @@
 
     private fun content(content: HttpContent) {
         if (isInterim) return
-        if (content.content().isReadable) parts.trySend(ResponsePart.Data(ByteBufUtil.getBytes(content.content())))
+        if (content.content().isReadable) data(ByteBufUtil.getBytes(content.content()))
         if (content !is LastHttpContent) return
         val incomplete = framing == Framing.UNTIL_CLOSE && wasReset
         parts.trySend(if (incomplete) ResponsePart.Broken("The server reset the connection.") else ResponsePart.End)
     }
 
+    private fun data(bytes: ByteArray) {
+        bufferedBytes += bytes.size
+        parts.trySend(ResponsePart.Data(bytes))
+        updateReading()
+    }
+
     private fun failConnection(context: ChannelHandlerContext, reason: String) {
         isUnusable = true
         parts.trySend(ResponsePart.Broken(reason))
@@ -91,5 +126,11 @@
 
     private companion object {
         val BODYLESS_STATUSES = setOf(204, 304)
+
+        /** Per connection; a response is read in parts of a few kilobytes. */
+        const val MAX_BUFFERED_BYTES = 64 * 1024
+
+        /** Interim responses and late ones of earlier requests, with the response itself. */
+        const val MAX_HEADS = 16
     }
 }
--- a/src/test/kotlin/org/persimmonrelay/adapter/AdapterHttpClientTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/adapter/AdapterHttpClientTest.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.withContext
 import org.persimmonrelay.clock.SystemClock
 import org.persimmonrelay.forward.ScriptedServer
+import org.persimmonrelay.forward.chunk
 import org.persimmonrelay.forward.writeText
 import org.persimmonrelay.http.EventLoopThread
 import org.persimmonrelay.http.HttpConnector
@@ -14,6 +15,7 @@
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArraySet
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -53,6 +55,32 @@
         }
     }
 
+    @Test
+    fun `a response without end is given up and its connection is not used again`() = runBlocking {
+        val written = AtomicLong()
+        val endless = ScriptedServer { _, socket ->
+            socket.writeText("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            val part = chunk("x".repeat(16_384)).encodeToByteArray()
+            runCatching {
+                while (written.get() < FAR_TOO_MUCH_BYTES) {
+                    socket.getOutputStream().write(part)
+                    written.addAndGet(part.size.toLong())
+                }
+            }
+        }
+        withContext(thread.dispatcher) {
+            val address = ServerAddress("127.0.0.1", endless.port)
+            assertTrue(http.call(address, PlatformRequest("GET", "/x"), 20.seconds).isLeft())
+        }
+        assertTrue(written.get() < FAR_TOO_MUCH_BYTES, "${written.get()} bytes")
+        assertEquals(1, endless.requests.size)
+        endless.close()
+    }
+
     private suspend fun call(timeout: Duration = 3.seconds) =
         http.call(ServerAddress("127.0.0.1", store.port), PlatformRequest("GET", "/x"), timeout)
+
+    private companion object {
+        const val FAR_TOO_MUCH_BYTES = 100L * 1024 * 1024
+    }
 }
--- a/src/test/kotlin/org/persimmonrelay/forward/ForwardFixture.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/ForwardFixture.kt
@@ -51,6 +51,7 @@
     stages: List<EngineStage?> = servers.map { null },
     timeout: Duration = 3.seconds,
     attempts: Int = 2,
+    bodyLimit: Int = 4_096,
 ) : AutoCloseable {
     private val thread = EventLoopThread("test-traffic")
     private val recorded = CopyOnWriteArrayList<Pair<EventCode, List<EventField>>>()
@@ -119,7 +120,7 @@
             version = 1,
             routes = listOf(route),
             services = mapOf(service.id to service),
-            limits = CallerLimits(headerBytes = 8_192, bodyBytes = 4_096, headerTimeout = 300.milliseconds),
+            limits = CallerLimits(headerBytes = 8_192, bodyBytes = bodyLimit, headerTimeout = 300.milliseconds),
             workspacesByKey = keys,
             keysRequired = true,
         )
