Count calls to the platform by path and outcome

Counter persimmonrelay.platform.calls on the metrics address, and the sums in NODE_STOPPED, to find which calls make up the price of a site.

--- a/src/main/kotlin/org/persimmonrelay/node/RelayDependencies.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/RelayDependencies.kt
@@ -1,5 +1,6 @@
 package org.persimmonrelay.node
 
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.persimmonrelay.backend.BackendServer
 import org.persimmonrelay.clock.SharedWallClock
 import org.persimmonrelay.forward.EngineReportProtocol
@@ -20,7 +21,7 @@
     public fun backendServer(row: FeedRow): BackendServer?
 }
 
-/** Platform services that a forwarding node uses, called on the control thread. */
+/** Platform services that a forwarding node uses, called on the control thread, and the [registry] of its metrics. */
 public class RelayDependencies(
     public val feed: RowFeed,
     public val reader: RowReader,
@@ -30,4 +31,5 @@
     public val headerCodec: HeaderCodec,
     public val engineReports: EngineReportProtocol,
     public val wallClock: SharedWallClock,
+    public val registry: PrometheusMeterRegistry,
 )
--- a/src/main/kotlin/org/persimmonrelay/node/RelayNode.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/RelayNode.kt
@@ -1,7 +1,5 @@
 package org.persimmonrelay.node
 
-import io.micrometer.prometheusmetrics.PrometheusConfig
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
@@ -50,7 +48,6 @@
     private var settings = settings
     private val location = NodeLocation(settings.domain, settings.region, settings.regions)
     private val traffic = EventLoopThread("traffic")
-    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val directory = BackendDirectory(events)
     private val tables = ActiveRouteTable(events)
     private val health: StoreHealth =
@@ -78,7 +75,7 @@
                 limits = forwardLimits(),
                 clock = clock,
                 events = events,
-                registry = registry,
+                registry = dependencies.registry,
             ),
             traffic,
         )
@@ -123,7 +120,7 @@
         val deadline = clock.now() + settings.bounds.grace * SHUTDOWN_FRACTION
         withContext(traffic.dispatcher) { server.shutDown(settings.bounds.grace) }
         withContext(control.dispatcher) { duties.shutDown(timeout = deadline - clock.now()) }
-        events.record(NodeEvent.NODE_STOPPED)
+        events.record(NodeEvent.NODE_STOPPED, "platformCalls" with callCounts())
         traffic.close()
     }
 
@@ -148,6 +145,10 @@
         }
     }
 
+    /** Calls to the platform since the start, by path and outcome. */
+    private fun callCounts(): String = dependencies.registry.find("persimmonrelay.platform.calls").counters()
+        .joinToString { "${it.id.getTag("path")} ${it.id.getTag("outcome")}: ${it.count().toLong()}" }
+
     private suspend fun runHousekeeping() {
         while (true) {
             delay(HOUSEKEEPING_INTERVAL)
--- a/src/test/kotlin/org/persimmonrelay/adapter/AdapterHttpClientTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/adapter/AdapterHttpClientTest.kt
@@ -1,5 +1,6 @@
 package org.persimmonrelay.adapter
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
@@ -35,7 +36,7 @@
         bothConnected.await()
         if (socket !in silentSockets) socket.writeText("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
     }
-    private val http = AdapterHttpClient(HttpConnector(thread), SystemClock)
+    private val http = AdapterHttpClient(HttpConnector(thread), SystemClock, SimpleMeterRegistry())
 
     @AfterTest
     fun stop() {
--- a/src/test/kotlin/org/persimmonrelay/adapter/PlatformTableTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/adapter/PlatformTableTest.kt
@@ -1,6 +1,7 @@
 package org.persimmonrelay.adapter
 
 import arrow.core.Either
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import org.persimmonrelay.clock.SharedWallClock
@@ -121,7 +122,9 @@
     }
 
     private fun platformStore() =
-        PlatformStore(AdapterHttpClient(HttpConnector(thread), clock), { store.address }, clock, SharedWallClock(clock))
+        PlatformStore(AdapterHttpClient(HttpConnector(thread), clock, SimpleMeterRegistry()), {
+            store.address
+        }, clock, SharedWallClock(clock))
 
     private fun table() = PlatformTable(platformStore())
 
