Restart a loop that failed, and leave out a usage row that can't be read

Cause, by reading: an unexpected error ended a background loop of a node for good (heartbeats, usage, leases, the feeds), and one malformed row of usage counts ended the reporting of all windows; only the thread's log told.

The line of an attempt (2704) is within the bound of lines a second, and a prefill that went well is no failed attempt any more.

--- a/src/main/kotlin/org/persimmonrelay/forward/EngineReportPoller.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/EngineReportPoller.kt
@@ -3,7 +3,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.persimmonrelay.backend.BackendServer
 import org.persimmonrelay.backend.PromptCacheDelta
 import org.persimmonrelay.backend.ServerChooser
@@ -11,6 +10,7 @@
 import org.persimmonrelay.clock.Clock
 import org.persimmonrelay.route.EngineSpec
 import org.persimmonrelay.timeline.EventSink
+import org.persimmonrelay.timeline.launchSupervised
 import org.persimmonrelay.timeline.with
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -42,7 +42,7 @@
         }
         chooser.polling(wanted.keys)
         wanted.filterKeys { it !in pollers }.forEach { (instance, engine) ->
-            pollers[instance] = scope.launch { EnginePoller(engine).run() }
+            pollers[instance] = scope.launchSupervised("cache reports", events) { EnginePoller(engine).run() }
         }
     }
 
--- a/src/main/kotlin/org/persimmonrelay/forward/RequestExecution.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/RequestExecution.kt
@@ -119,7 +119,7 @@
     }
 
     private fun recordOutcome(chosen: Placement.Chosen, task: ServerTask, outcome: AttemptOutcome) {
-        dependencies.log.attemptEnded(request, chosen, outcome)
+        dependencies.log.attemptEnded(request, chosen, outcome, clock.now())
         if (outcome is AttemptOutcome.Prefilled) return
         triedServers += chosen.server.instance
         when (outcome) {
--- a/src/main/kotlin/org/persimmonrelay/forward/RequestLog.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/RequestLog.kt
@@ -69,10 +69,16 @@
 
     internal fun firstPart(request: ForwardedRequest, now: Moment) = metrics.firstPart(now - request.exchange.arrivedAt)
 
-    internal fun attemptEnded(request: ForwardedRequest, chosen: Placement.Chosen, outcome: AttemptOutcome) {
+    internal fun attemptEnded(
+        request: ForwardedRequest,
+        chosen: Placement.Chosen,
+        outcome: AttemptOutcome,
+        now: Moment,
+    ) {
         metrics.attempt(outcome)
-        if (outcome is AttemptOutcome.Delivered) return
-        events.record(
+        if (outcome is AttemptOutcome.Delivered || outcome is AttemptOutcome.Prefilled) return
+        line(
+            now,
             ForwardEvent.ATTEMPT_ENDED,
             "id" with request.attributes.id,
             "server" with chosen.server.instance.id,
--- a/src/main/kotlin/org/persimmonrelay/lease/LeaseManager.kt
+++ b/src/main/kotlin/org/persimmonrelay/lease/LeaseManager.kt
@@ -2,12 +2,12 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.persimmonrelay.clock.Clock
 import org.persimmonrelay.identity.NodeId
 import org.persimmonrelay.identity.OperationId
 import org.persimmonrelay.platform.ReliableTable
 import org.persimmonrelay.timeline.EventSink
+import org.persimmonrelay.timeline.launchSupervised
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.random.Random
 
@@ -43,8 +43,8 @@
         if (duties.containsKey(duty)) return
         val lease = newLease(duty, candidates)
         if (stopping || duties.putIfAbsent(duty, lease) != null) return
-        scope.launch { lease.run() }
-        scope.launch { lease.resolvePredecessors() }
+        scope.launchSupervised("lease", events) { lease.run() }
+        scope.launchSupervised("earlier holders", events) { lease.resolvePredecessors() }
     }
 
     /** The lease of [duty] if this process holds it and may send under it now, else null. */
--- a/src/main/kotlin/org/persimmonrelay/node/RelayDuties.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/RelayDuties.kt
@@ -18,6 +18,7 @@
 import org.persimmonrelay.route.ActiveRouteTable
 import org.persimmonrelay.settings.RelayBounds
 import org.persimmonrelay.timeline.EventSink
+import org.persimmonrelay.timeline.launchSupervised
 import org.persimmonrelay.usage.UsageMeter
 import org.persimmonrelay.usage.UsageRecorder
 import org.persimmonrelay.usage.UsageSettings
@@ -37,7 +38,7 @@
     dependencies: RelayDependencies,
     identity: NodeIdentity,
     clock: Clock,
-    events: EventSink,
+    private val events: EventSink,
     tables: ActiveRouteTable,
     directory: BackendDirectory,
     health: StoreHealth,
@@ -107,7 +108,7 @@
     val usageMeter: UsageMeter get() = usageRecorder
 
     fun start(scope: CoroutineScope) {
-        scope.launch { membership.run() }
+        scope.launchSupervised("membership", events) { membership.run() }
         scope.launch { timeAgreement.run() }
         usageRecorder.start(scope)
         windowCloser?.start(scope)
--- a/src/main/kotlin/org/persimmonrelay/node/RelayNode.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/RelayNode.kt
@@ -28,6 +28,7 @@
 import org.persimmonrelay.route.ActiveRouteTable
 import org.persimmonrelay.settings.RelaySettings
 import org.persimmonrelay.timeline.EventSink
+import org.persimmonrelay.timeline.launchSupervised
 import org.persimmonrelay.timeline.with
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -102,9 +103,9 @@
             loadTransport.start(loads::receive)
             server.start()
         }
-        traffic.scope.launch { loads.run() }
-        followers.forEach { control.scope.launch { it.run() } }
-        control.scope.launch { runHousekeeping() }
+        traffic.scope.launchSupervised("load reports", events) { loads.run() }
+        followers.forEach { control.scope.launchSupervised("feed", events) { it.run() } }
+        control.scope.launchSupervised("housekeeping", events) { runHousekeeping() }
         duties.start(control.scope)
         control.scope.launch { awaitReady() }
     }
--- a/src/main/kotlin/org/persimmonrelay/node/ScaleDuty.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/ScaleDuty.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.persimmonrelay.backend.BackendDirectory
 import org.persimmonrelay.backend.BackendServer
 import org.persimmonrelay.clock.Clock
@@ -19,6 +18,7 @@
 import org.persimmonrelay.scale.ScaleOrders
 import org.persimmonrelay.scale.ScalePlanner
 import org.persimmonrelay.timeline.EventSink
+import org.persimmonrelay.timeline.launchSupervised
 import org.persimmonrelay.timeline.with
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -40,7 +40,7 @@
     /** Competes for the duty and plans scaling while this node holds it, until [scope] ends. */
     fun start(scope: CoroutineScope) {
         leases.compete(scope, duty)
-        scope.launch {
+        scope.launchSupervised("scaling", events) {
             while (true) {
                 leases.heldLease(duty)?.takeIf { it.isExclusive }?.let { runOnce(it) }
                 delay(INTERVAL)
--- a/src/main/kotlin/org/persimmonrelay/timeline/EventArea.kt
+++ b/src/main/kotlin/org/persimmonrelay/timeline/EventArea.kt
@@ -23,6 +23,7 @@
     SCALE(2800, "scale"),
     ADAPTER(2900, "adapter"),
     LOAD(3000, "load"),
+    TIMELINE(3100, "timeline"),
     ;
 
     /** The event numbers of this area. */
--- a/src/main/kotlin/org/persimmonrelay/usage/UsageRecorder.kt
+++ b/src/main/kotlin/org/persimmonrelay/usage/UsageRecorder.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
 import org.persimmonrelay.clock.Clock
@@ -15,6 +14,7 @@
 import org.persimmonrelay.platform.Transaction
 import org.persimmonrelay.platform.Write
 import org.persimmonrelay.timeline.EventSink
+import org.persimmonrelay.timeline.launchSupervised
 import org.persimmonrelay.timeline.with
 
 /**
@@ -46,7 +46,7 @@
 
     /** Flushes by the schedule until [scope] ends. */
     public fun start(scope: CoroutineScope) {
-        scope.launch {
+        scope.launchSupervised("usage flush", events) {
             while (true) {
                 delay(flushSchedule.timeToNextFlush(clock.wallMillis()))
                 if (!flush()) events.record(UsageEvent.SEGMENT_LATE, "segments" with pending.size)
--- a/src/main/kotlin/org/persimmonrelay/usage/WindowCloser.kt
+++ b/src/main/kotlin/org/persimmonrelay/usage/WindowCloser.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
+import kotlinx.serialization.SerializationException
 import org.persimmonrelay.clock.Clock
 import org.persimmonrelay.identity.OperationId
 import org.persimmonrelay.lease.Duty
@@ -17,6 +17,7 @@
 import org.persimmonrelay.platform.UsageReports
 import org.persimmonrelay.platform.Write
 import org.persimmonrelay.timeline.EventSink
+import org.persimmonrelay.timeline.launchSupervised
 import org.persimmonrelay.timeline.with
 
 /**
@@ -42,12 +43,13 @@
     /** What this node has already done under the lease with epoch [epoch]; saves reads that can find nothing new. */
     private data class Progress(val epoch: Long, val closedThrough: Long?, val hasPending: Boolean)
 
+    private val ignoredRows = HashSet<String>()
     private var progress = Progress(epoch = 0, closedThrough = null, hasPending = true)
 
     /** Competes for the duty's lease and closes and reports windows while this node holds it, until [scope] ends. */
     public fun start(scope: CoroutineScope) {
         leases.compete(scope, duty)
-        scope.launch {
+        scope.launchSupervised("usage windows", events) {
             while (true) {
                 leases.heldLease(duty)?.let { pass(it) }
                 delay(settings.closeEvery)
@@ -84,7 +86,16 @@
     }
 
     private suspend fun readSegments(): List<StoredSegment>? =
-        table.scan(keys.segments).getOrNull()?.map(StoredSegment::of)
+        table.scan(keys.segments).getOrNull()?.mapNotNull(::decode)
+
+    /** A segment that can't be read must not keep the others from being counted. */
+    private fun decode(row: Row): StoredSegment? = try {
+        StoredSegment.of(row)
+    } catch (e: SerializationException) {
+        if (row.key !in ignoredRows) events.record(UsageEvent.SEGMENT_IGNORED, "key" with row.key, "why" with e.message)
+        if (ignoredRows.size < MAX_IGNORED_ROWS) ignoredRows += row.key
+        null
+    }
 
     /** Windows that ended by the result, in milliseconds since the Unix epoch, are due; null when a read failed. */
     private suspend fun dueBefore(now: Long): Long? {
@@ -162,4 +173,9 @@
         val done = Transaction(newOperation(), listOf(condition), listOf(Write.Delete(pending.key)))
         return table.commit(done) !is CommitOutcome.NotSent
     }
+
+    private companion object {
+        /** Each ignored row is logged once, as long as there are not more than these. */
+        const val MAX_IGNORED_ROWS = 200
+    }
 }
--- a/src/test/kotlin/org/persimmonrelay/usage/WindowCloserTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/usage/WindowCloserTest.kt
@@ -12,6 +12,8 @@
 import org.persimmonrelay.platform.ReliableTable
 import org.persimmonrelay.platform.SchedulerClock
 import org.persimmonrelay.platform.TableService
+import org.persimmonrelay.platform.Transaction
+import org.persimmonrelay.platform.Write
 import org.persimmonrelay.standin.StandInTable
 import org.persimmonrelay.standin.StandInUsageReports
 import kotlin.random.Random
@@ -104,6 +106,17 @@
         assertTrue(reports.received.none { "adjustmentOf\":\"" in it.body })
     }
 
+    @Test
+    fun `a segment that can't be read is left out and the others are reported`() = runTest {
+        val meter = node()
+        val damaged = Write.Put("usage/segment/0/other/000000000001", "{not a segment")
+        service.commit(Transaction(OperationId("damage"), emptyList(), listOf(damaged)))
+        meter.record(WORKSPACE, promptTokens = 10, outputTokens = 2)
+        delay(8.minutes)
+
+        assertEquals(10, reports.received.sumOf { promptTokens(it.body) })
+    }
+
     private fun promptTokens(body: String): Int =
         Regex("\"promptTokens\":(\\d+)").findAll(body).sumOf { it.groupValues[1].toInt() }
 
