--- a/src/main/kotlin/org/persimmonrelay/backend/InFlightRequest.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/InFlightRequest.kt
@@ -2,6 +2,7 @@
 
 import org.persimmonrelay.clock.Moment
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** What is learned from the course of a request. */
 internal class LearnedEstimates(
@@ -37,8 +38,8 @@
         }
         // Transfers wait for each other at both ends, and which of the two it was can't be told.
         prefilledAt?.let {
-            load.recordTransferDelay(excess, now)
-            it.recordTransferDelay(excess, now)
+            load.recordTransferDelay(excess - USUAL_HANDOVER_EXCESS, now)
+            it.recordTransferDelay(excess - USUAL_HANDOVER_EXCESS, now)
         }
     }
 
@@ -82,4 +83,9 @@
         awaitsFirstResponse = false
         load.firstResponse(chosen.prefillTokens)
     }
+
+    private companion object {
+        /** A handover between idle servers takes up to this much longer than expected, and is worth that. */
+        val USUAL_HANDOVER_EXCESS = 100.milliseconds
+    }
 }
--- a/src/main/kotlin/org/persimmonrelay/backend/NearbyServers.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/NearbyServers.kt
@@ -55,7 +55,7 @@
 
     private companion object {
         /** A service with no more servers than this is used as a whole. */
-        const val ALL_PREFERRED = 12
+        const val ALL_PREFERRED = 32
 
         /** Enough that the loss of a failure domain leaves some. */
         const val MIN_PREFERRED = 4
--- a/src/main/kotlin/org/persimmonrelay/experiment/Comparison.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/PolicyComparison.kt
@@ -3,7 +3,7 @@
 import org.persimmonrelay.engine.EngineProfile
 
 /** Runs both policies on the same cases and computes the upper bound on their good responses. */
-internal class Comparison(
+internal class PolicyComparison(
     private val scenario: Scenario,
     private val seed: Long,
     private val profile: EngineProfile,
--- a/src/main/kotlin/org/persimmonrelay/experiment/ServingScenarios.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/ServingScenarios.kt
@@ -111,10 +111,10 @@
         )
     }
 
-    private fun compare(scenario: Scenario, cases: List<ServingCase>): Comparison =
-        Comparison(scenario, seed, profile, bound, cases)
+    private fun compare(scenario: Scenario, cases: List<ServingCase>): PolicyComparison =
+        PolicyComparison(scenario, seed, profile, bound, cases)
 
-    private fun shiftTargets(comparison: Comparison, shifts: List<Double>): List<TargetReport> {
+    private fun shiftTargets(comparison: PolicyComparison, shifts: List<Double>): List<TargetReport> {
         val maxChanges = comparison.ours.results.maxOf { result -> maxChangesPerEngineAndShift(result.changes, shifts) }
         return listOf(
             TargetReport(
@@ -137,7 +137,7 @@
         .values
         .maxOrNull() ?: 0
 
-    private fun refusedAfterRunTarget(comparison: Comparison): TargetReport =
+    private fun refusedAfterRunTarget(comparison: PolicyComparison): TargetReport =
         TargetReport("refused_after_run", comparison.ours.report().refusedAfterRun.toDouble(), atMost = 0.0)
 
     private companion object {
--- a/src/main/kotlin/org/persimmonrelay/experiment/laws/FaultPlan.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/laws/FaultPlan.kt
@@ -5,7 +5,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** One fault of process [victim], [at] after the start. [detail] selects a variant of the kind of fault. */
-internal data class Fault(
+internal data class PlannedFault(
     val kind: FaultKind,
     val at: Duration,
     val duration: Duration,
@@ -15,13 +15,13 @@
 
 /** The faults of one schedule: one or two kinds, each up to three times. */
 internal class FaultPlan(random: Random, processes: Int, kinds: List<FaultKind>, within: Duration) {
-    val faults: List<Fault> =
+    val faults: List<PlannedFault> =
         kinds
             .shuffled(random)
             .take(1 + random.nextInt(2))
             .flatMap { kind -> List(1 + random.nextInt(MAX_REPEATS)) { fault(kind, random, processes, within) } }
 
-    private fun fault(kind: FaultKind, random: Random, processes: Int, within: Duration) = Fault(
+    private fun fault(kind: FaultKind, random: Random, processes: Int, within: Duration) = PlannedFault(
         kind = kind,
         at = within * random.nextDouble(),
         duration = SHORTEST + (LONGEST - SHORTEST) * random.nextDouble(),
--- a/src/main/kotlin/org/persimmonrelay/experiment/laws/MembershipLaw.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/laws/MembershipLaw.kt
@@ -52,12 +52,12 @@
 
     private fun injectFault() {
         val node = regionOf.keys.sortedBy { it.value }.random(random)
-        when (Fault.entries.random(random)) {
-            Fault.KILL -> kill(node)
-            Fault.RESTART -> start(node, regionOf.getValue(node))
-            Fault.PAUSE -> pauseFor(node, random.nextInt(2, MAX_FAULT_SECONDS))
-            Fault.SPLIT -> partitionWithinRegion(node, random.nextInt(2, MAX_FAULT_SECONDS))
-            Fault.CUT -> partitionRegion(regionOf.getValue(node), random.nextInt(2, MAX_FAULT_SECONDS))
+        when (MembershipFault.entries.random(random)) {
+            MembershipFault.KILL -> kill(node)
+            MembershipFault.RESTART -> start(node, regionOf.getValue(node))
+            MembershipFault.PAUSE -> pauseFor(node, random.nextInt(2, MAX_FAULT_SECONDS))
+            MembershipFault.SPLIT -> partitionWithinRegion(node, random.nextInt(2, MAX_FAULT_SECONDS))
+            MembershipFault.CUT -> partitionRegion(regionOf.getValue(node), random.nextInt(2, MAX_FAULT_SECONDS))
         }
         advance(random.nextInt(1, MAX_GAP_SECONDS))
     }
@@ -112,7 +112,7 @@
         elapsedSeconds++
     }
 
-    private enum class Fault { KILL, RESTART, PAUSE, SPLIT, CUT }
+    private enum class MembershipFault { KILL, RESTART, PAUSE, SPLIT, CUT }
 
     private companion object {
         val REGIONS = listOf("east", "north", "south")
--- a/src/main/kotlin/org/persimmonrelay/experiment/laws/VirtualWorld.kt
+++ b/src/main/kotlin/org/persimmonrelay/experiment/laws/VirtualWorld.kt
@@ -26,7 +26,7 @@
     /** Current incarnation of each process, by index; it may be paused or killed. */
     val running: MutableList<VirtualProcess> = mutableListOf()
 
-    /** Called with [Fault.detail], which selects the receiver, when a receiver of orders is to crash. */
+    /** Called with [PlannedFault.detail], which selects the receiver, when a receiver of orders is to crash. */
     var crashReceiver: (Int) -> Unit = {}
 
     /** True when the plan kills a process, which loses its data in memory. */
@@ -63,7 +63,7 @@
         wallSkew = WALL_SKEW * (2 * clockRandom.nextDouble() - 1),
     )
 
-    private fun begin(fault: Fault) {
+    private fun begin(fault: PlannedFault) {
         val victim = running[fault.victim]
         when (fault.kind) {
             FaultKind.KILL -> killAndRestart(fault)
@@ -80,7 +80,7 @@
         }
     }
 
-    private fun applyFor(fault: Fault) {
+    private fun applyFor(fault: PlannedFault) {
         setActive(fault.kind, active = true)
         time.after(fault.duration) { setActive(fault.kind, active = false) }
     }
@@ -105,7 +105,7 @@
         time.after(duration) { process.resume() }
     }
 
-    private fun killAndRestart(fault: Fault) {
+    private fun killAndRestart(fault: PlannedFault) {
         running[fault.victim].kill()
         time.after(fault.duration / 2) {
             running[fault.victim].kill()
--- a/src/test/kotlin/org/persimmonrelay/backend/NearbyServersTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/backend/NearbyServersTest.kt
@@ -11,7 +11,7 @@
 
 /** A service with hundreds of servers: each node uses a few of them first, so that its cost stays bounded. */
 class NearbyServersTest {
-    private val few = List(12) { server("s$it", domain = if (it % 2 == 0) "puget-a" else "inland-a") }
+    private val few = List(32) { server("s$it", domain = if (it % 2 == 0) "puget-a" else "inland-a") }
 
     @Test
     fun `all servers of a small service are preferred`() {
