--- a/src/main/kotlin/org/persimmonrelay/backend/ServerOption.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/ServerOption.kt
@@ -7,8 +7,8 @@
 
 /**
  * A server that may do work of one [ServerWorkKind] for a request. The first token is expected after [expected], of
- * which [wait] is due to other requests and [learnedDelay] to recent delays of the server. [cost] adds to the expected time the cost to other requests; the option with
- * the lowest cost is chosen.
+ * which [wait] is due to other requests and [learnedDelay] to recent delays of the server. [cost] adds to the expected
+ * time the cost to other requests; the option with the lowest cost is chosen.
  */
 internal class ServerOption(
     val server: BackendServer,
--- a/src/main/kotlin/org/persimmonrelay/forward/ResponseDelivery.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ResponseDelivery.kt
@@ -79,23 +79,26 @@
         while (true) {
             exchange.awaitWritable()
             val part = reader.next(eventDue?.let { (it - dependencies.clock.now()).coerceAtLeast(Duration.ZERO) })
-            when (part) {
-                is ResponsePart.Data -> {
-                    val events = splitter.feed(part.bytes)
-                    if (splitter.isOversized) return failed("event over ${dependencies.settings.maxEventBytes} bytes")
-                    events.forEach { forward(it, reader.head) }
-                    // Bytes alone are no progress: a stalled server may send some now and then.
-                    if (events.isNotEmpty()) eventDue = nextEventDue(kind)
-                }
-                is ResponsePart.End -> return streamEnded(reader, splitter)
-                is ResponsePart.Broken ->
-                    return failed("stream broken after ${progress.forwardedEvents} events: ${part.reason}")
-                is ResponsePart.Head -> return failed("second response inside a stream")
-                null -> return failed("stream timed out after ${progress.forwardedEvents} events")
-            }
+            if (part !is ResponsePart.Data) return streamEnded(part, reader, splitter)
+            val events = splitter.feed(part.bytes)
+            if (splitter.isOversized) return failed("event over ${dependencies.settings.maxEventBytes} bytes")
+            events.forEach { forward(it, reader.head) }
+            // Bytes alone are no progress: a stalled server may send some now and then.
+            if (events.isNotEmpty()) eventDue = nextEventDue(kind)
         }
     }
 
+    private fun streamEnded(
+        part: ResponsePart?,
+        reader: ResponseReader,
+        splitter: EventStreamSplitter,
+    ): AttemptOutcome = when (part) {
+        is ResponsePart.End -> streamCompleted(reader, splitter)
+        is ResponsePart.Broken -> failed("stream broken after ${progress.forwardedEvents} events: ${part.reason}")
+        null -> failed("stream timed out after ${progress.forwardedEvents} events")
+        is ResponsePart.Head, is ResponsePart.Data -> failed("second response inside a stream")
+    }
+
     private fun nextEventDue(kind: RouteKind.Streaming): Moment? =
         eventTimeout(kind)?.let { dependencies.clock.now() + it }
 
@@ -116,7 +119,7 @@
         exchange.write(event.bytes)
     }
 
-    private fun streamEnded(reader: ResponseReader, splitter: EventStreamSplitter): AttemptOutcome {
+    private fun streamCompleted(reader: ResponseReader, splitter: EventStreamSplitter): AttemptOutcome {
         if (splitter.hasPartialEvent) return failed("stream ended inside an event")
         if (!exchange.isResponseStarted) startResponse(reader.head)
         return delivered(reader.head.status)
--- a/src/main/kotlin/org/persimmonrelay/node/FeedPollTimeout.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/FeedPollTimeout.kt
@@ -8,7 +8,7 @@
 /**
  * How long a poll for changes of a table waits. Of the nodes that tell each other what they have read, the first whose
  * poll ends notices when the connections of all have gone silent; polls may therefore be longer the more nodes there
- * are. [peers] is the number of other nodes heard, [keyBound] the time after which unconfirmed keys are refused, if any.
+ * are. [peers] is the number of other nodes heard, [keyBound] the time after which unconfirmed keys are refused.
  */
 internal fun feedPollTimeout(peers: Int, keyBound: Duration?, random: Random): Duration {
     val longest = (TIMEOUT_PER_NODE * (peers + 1)).coerceIn(SHORTEST, LONGEST)
--- a/src/main/kotlin/org/persimmonrelay/node/ReportPollerAssignment.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/ReportPollerAssignment.kt
@@ -8,10 +8,11 @@
 import org.persimmonrelay.membership.UdpPeer
 
 /**
- * Decides whether the node [self] at [location] is one of the nodes that poll an engine for its cache reports. An engine
- * keeps only a few such calls waiting. Where all nodes of its region can't poll it, [COLLECTORS] of them do and tell the
- * others. Nodes with the same view of the others decide alike; one more or less does no harm. Results are kept until the
- * peers change. Confined to the traffic thread.
+ * Decides whether the node [self] at [location] is one of the nodes that poll an engine for its cache reports.
+ *
+ * An engine keeps only a few such calls waiting. Where all nodes of its region can't poll it, [COLLECTORS] of them do
+ * and tell the others. Nodes with the same view of the others decide alike; one more or less does no harm. Results are
+ * kept until the peers change. Confined to the traffic thread.
  */
 internal class ReportPollerAssignment(private val self: NodeId, private val location: NodeLocation) {
     private var peers: List<UdpPeer> = emptyList()
