Count windows as closed only when all that were due are

Found by reading: after an outage several windows are due at once; when the commit of one failed and that of a later one did not, the earlier one would have waited for the next window's pass, five seconds.

--- a/src/main/kotlin/org/persimmonrelay/usage/WindowCloser.kt
+++ b/src/main/kotlin/org/persimmonrelay/usage/WindowCloser.kt
@@ -80,9 +80,12 @@
         val read = readSegments() ?: return
         val segments = if (merger.merge(heldLease, read)) readSegments() ?: return else read
         val closed = closedWindows(segments, dueBefore) ?: return
-        planWindows(segments, { it in closed }, dueBefore, settings.window.inWholeMilliseconds)
-            .mapNotNull { it.limitedTo(settings.maxSegmentsPerWindow) }
-            .forEach { close(heldLease, it) }
+        val plans = planWindows(segments, { it in closed }, dueBefore, settings.window.inWholeMilliseconds)
+        val isAllClosed = plans.map { plan ->
+            plan.limitedTo(settings.maxSegmentsPerWindow)?.let { close(heldLease, it) } ?: false
+        }.all { it }
+        val last = plans.lastOrNull()?.windowStart ?: return
+        if (isAllClosed) progress = progress.copy(closedThrough = last)
     }
 
     private suspend fun readSegments(): List<StoredSegment>? =
@@ -116,7 +119,8 @@
         return rows.mapNotNull { byKey[it.key] }.toSet()
     }
 
-    private suspend fun close(heldLease: HeldLease, plan: WindowPlan) {
+    /** True when the window was closed. */
+    private suspend fun close(heldLease: HeldLease, plan: WindowPlan): Boolean {
         val window = keys.windowName(plan.windowStart)
         val body = WindowBody(plan.reports(window, keys::windowName)).encode()
         val row = WindowRow(window, heldLease.epoch, body).encode()
@@ -133,18 +137,10 @@
             ) + consumed.map { Write.Delete(it.key) },
         )
         val closed = table.commit(transaction) is CommitOutcome.Committed
-        progress = progress.copy(
-            closedThrough = if (closed) {
-                maxOf(
-                    plan.windowStart,
-                    progress.closedThrough ?: 0,
-                )
-            } else {
-                progress.closedThrough
-            },
-            hasPending = true,
-        )
+        // A commit of unknown outcome may have stored the report as well.
+        progress = progress.copy(hasPending = true)
         if (closed) events.record(UsageEvent.WINDOW_CLOSED, "window" with window, "segments" with consumed.size)
+        return closed
     }
 
     private suspend fun reportPending(heldLease: HeldLease) {
