--- a/src/main/kotlin/org/persimmonrelay/catalog/CatalogFollower.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/CatalogFollower.kt
@@ -104,8 +104,8 @@
     }
 
     private companion object {
-        const val MIN_JITTER_FACTOR = 0.8
-        const val MAX_JITTER_FACTOR = 1.0
+        const val MIN_JITTER_FACTOR = 0.9
+        const val MAX_JITTER_FACTOR = 1.1
         const val MAX_CONFIRMED_AGE_POLLS = 1.5
         val PROBE_INTERVAL = 500.milliseconds
 
--- a/src/main/kotlin/org/persimmonrelay/catalog/CatalogService.kt
+++ b/src/main/kotlin/org/persimmonrelay/catalog/CatalogService.kt
@@ -34,7 +34,7 @@
  * last confirmed as the newest.
  */
 public data class CatalogOptions(
-    val pollInterval: Duration = 1_600.milliseconds,
+    val pollInterval: Duration = 2.seconds,
     val keyFreshnessLimit: Duration = 8.seconds,
     val versionsPerSnapshot: Long = 200,
 ) {
--- a/src/main/kotlin/org/persimmonrelay/settings/NodeSettings.kt
+++ b/src/main/kotlin/org/persimmonrelay/settings/NodeSettings.kt
@@ -57,7 +57,7 @@
     val bodyBytes: Long = DEFAULT_BODY_BYTES,
     val headerBytes: Int = DEFAULT_HEADER_BYTES,
     val openStreams: Int = 20_000,
-    val configPollMillis: Long = 1_600,
+    val configPollMillis: Long = 2_000,
     val keyFreshnessSeconds: Double = 8.0,
     val leaseSeconds: Double = 10.0,
     val leaseToleranceSeconds: Double = 2.0,
