--- a/src/test/kotlin/org/persimmonrelay/entry/CompletionResumeTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/entry/CompletionResumeTest.kt
@@ -1,10 +1,6 @@
 package org.persimmonrelay.entry
 
 import io.ktor.client.statement.bodyAsText
-import kotlin.test.Test
-import kotlin.test.assertEquals
-import kotlin.test.assertTrue
-import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
@@ -14,6 +10,10 @@
 import org.persimmonrelay.standin.StreamFault
 import org.persimmonrelay.standin.StreamFaultKind
 import org.persimmonrelay.standin.TokenScript
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Completions over real sockets while engines drop connections, stop sending, or lose and reorder chunks. */
 class CompletionResumeTest {
--- a/src/test/kotlin/org/persimmonrelay/forward/EndlessBytesTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/EndlessBytesTest.kt
@@ -18,6 +18,7 @@
  */
 class EndlessBytesTest {
     private val resumable = RouteKind.Streaming(resumable = true, pauseTarget = 100.milliseconds)
+
     @Test
     fun `a head without end is given up and the request is served by another server`() {
         val written = AtomicLong()
@@ -172,6 +173,7 @@
     private companion object {
         /** What a node and the buffers of the connections may hold of one response. */
         const val BOUND_BYTES = 24L * 1024 * 1024
+
         /** Longer than the pause that counts as on time. */
         const val SLOW_PAUSE_MILLIS = 400L
         const val FAR_TOO_MUCH_BYTES = 400L * 1024 * 1024
