--- a/src/main/kotlin/org/persimmonrelay/platform/RowFollower.kt
+++ b/src/main/kotlin/org/persimmonrelay/platform/RowFollower.kt
@@ -135,7 +135,8 @@
 
     private fun onFailure(failure: FeedFailure): FeedResponse? {
         when (failure) {
-            is FeedFailure.HistoryLost -> events.record(PlatformEvent.HISTORY_LOST, "table" with table)
+            is FeedFailure.HistoryLost ->
+                events.record(PlatformEvent.HISTORY_LOST, "table" with table, "readUpTo" with readUpTo)
             is FeedFailure.Unavailable -> health.recordFailure(failure.message, clock.now())
         }
         return null
--- a/src/main/kotlin/org/persimmonrelay/usage/UsageRecorder.kt
+++ b/src/main/kotlin/org/persimmonrelay/usage/UsageRecorder.kt
@@ -39,6 +39,7 @@
     private var sequence = 0L
     private var writerVersion = 0L
     private var countedThrough = 0L
+    private var lastFailure = ""
 
     override fun record(workspace: WorkspaceId, promptTokens: Long, outputTokens: Long) {
         accumulator.record(windowStartOf(clock.wallMillis()), workspace, promptTokens, outputTokens)
@@ -49,11 +50,14 @@
         scope.launchSupervised("usage flush", events) {
             while (true) {
                 delay(flushSchedule.timeToNextFlush(clock.wallMillis()))
-                if (!flush()) events.record(UsageEvent.SEGMENT_LATE, "segments" with pending.size)
+                if (!flush()) recordLate()
             }
         }
     }
 
+    private fun recordLate() =
+        events.record(UsageEvent.SEGMENT_LATE, "segments" with pending.size, "why" with lastFailure)
+
     /** Stores all counts so far; false when some could not be stored. To be called last before a node stops. */
     public suspend fun flush(): Boolean = flushLock.withLock {
         val now = clock.wallMillis()
@@ -97,17 +101,31 @@
             if (writerVersion == 0L) Condition.Absent(writer) else Condition.VersionIs(writer, writerVersion)
         val row = WriterRow(sequence, through)
         val transaction = Transaction(operation, listOf(condition), listOf(Write.Put(writer, row.encode())) + writes)
-        val stored = when (val outcome = table.commit(transaction)) {
-            is CommitOutcome.Committed -> true
-            is CommitOutcome.Conflict -> outcome.current.any { it.operation == transaction.operation }
-            is CommitOutcome.NotSent, is CommitOutcome.Unknown -> false
-        }
-        if (!stored) return false
+        val outcome = table.commit(transaction)
+        if (!isStored(transaction, outcome)) return false
         writerVersion++
         countedThrough = through
         return true
     }
 
+    private fun isStored(transaction: Transaction, outcome: CommitOutcome): Boolean {
+        if (outcome is CommitOutcome.Committed) return true
+        if (outcome is CommitOutcome.Conflict && isOwnWrite(transaction, outcome)) return true
+        lastFailure = reason(outcome)
+        return false
+    }
+
+    private fun isOwnWrite(transaction: Transaction, conflict: CommitOutcome.Conflict): Boolean =
+        conflict.current.any { it.operation == transaction.operation }
+
+    private fun reason(outcome: CommitOutcome): String = when (outcome) {
+        is CommitOutcome.Committed -> ""
+        is CommitOutcome.Conflict ->
+            "the writer row has version ${outcome.current.firstOrNull()?.version ?: 0} in place of $writerVersion"
+        is CommitOutcome.NotSent -> outcome.message
+        is CommitOutcome.Unknown -> outcome.message
+    }
+
     private fun windowStartOf(wallMillis: Long): Long =
         wallMillis - Math.floorMod(wallMillis, settings.window.inWholeMilliseconds)
 }
--- a/src/test/kotlin/org/persimmonrelay/adapter/PlatformTableTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/adapter/PlatformTableTest.kt
@@ -15,6 +15,7 @@
 import org.persimmonrelay.platform.FeedFailure
 import org.persimmonrelay.platform.FeedTable
 import org.persimmonrelay.platform.ReliableTable
+import org.persimmonrelay.platform.RestoreCounter
 import org.persimmonrelay.platform.Transaction
 import org.persimmonrelay.platform.Write
 import org.persimmonrelay.quarantine.LedgerExchange
@@ -138,7 +139,7 @@
     private fun platformStore() =
         PlatformStore(AdapterHttpClient(HttpConnector(thread), clock, SimpleMeterRegistry()), {
             store.address
-        }, clock, SharedWallClock(clock))
+        }, clock, SharedWallClock(clock), RestoreCounter { _, _ -> })
 
     private fun table() = PlatformTable(platformStore())
 
