--- a/src/main/kotlin/org/persimmonrelay/standin/StandInTable.kt
+++ b/src/main/kotlin/org/persimmonrelay/standin/StandInTable.kt
@@ -18,6 +18,11 @@
 public class StandInTable(public val faults: Faults = Faults()) : TableService {
     private val rows = TreeMap<String, Row>()
 
+    /** How often the table was restored from an older copy. */
+    @Volatile
+    public var restores: Long = 0
+        private set
+
     /** Number of rows read since the table was created; a scan counts at least one. */
     public var reads: Long = 0
         private set
@@ -26,6 +31,16 @@
     public var writes: Long = 0
         private set
 
+    /** The rows as they are now. */
+    public fun copy(): List<Row> = synchronized(rows) { rows.values.toList() }
+
+    /** Comes back from [copy], which was taken earlier: later writes are lost, and their versions are assigned again. */
+    public fun restore(copy: List<Row>): Unit = synchronized(rows) {
+        rows.clear()
+        copy.associateByTo(rows) { it.key }
+        restores++
+    }
+
     override suspend fun read(keys: List<String>): Either<StoreUnavailable, List<Row>> = runWithFaults {
         reads += keys.size
         keys.mapNotNull { rows[it] }
