Follow tables by the restored store's versions, and never read one over and over

Cause: a follower kept the highest store version that it had read. The versions that nodes tell each other were compared across the restore as well. The response to a poll that the restored store can answer, since it has assigned the version again, was taken for all changes.

Versions are now compared together with the number of restores; a response with another number makes the follower read the table again. Nodes tell each other that number (one field), so that one with a silent poll hears of a restore as it hears of a change. A poll that fails right after the table was read is followed by the backoff, whatever the reason.

With the old comparison and without the backoff the tests don't end: the table is read without end at one moment of virtual time. Now: 8 polls and 4 reads at most in 20 s, and a change after the restore is heard at once.

--- a/src/main/kotlin/org/persimmonrelay/node/RelayNode.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/RelayNode.kt
@@ -55,12 +55,17 @@
     private val health: StoreHealth =
         StoreHealth(events, onLost = { followers.forEach { it.storeLost() } }) { directory.storeRecovered(it) }
     private val configurationFollower =
-        follower(FeedTable.CONFIGURATION, ConfigurationListener(dependencies.reader, tables))
+        newFollower(FeedTable.CONFIGURATION, ConfigurationListener(dependencies.reader, tables))
     private val serverFollower =
-        follower(FeedTable.BACKEND_SERVERS, ServerListener(dependencies.reader, directory, { health }, clock))
+        newFollower(FeedTable.BACKEND_SERVERS, ServerListener(dependencies.reader, directory, { health }, clock))
     private val quarantine = PromptQuarantine(events)
     private val quarantineFollower =
-        follower(FeedTable.QUARANTINE, QuarantineListener(dependencies.reader, control.scope) { duties.ledgerExchange })
+        newFollower(
+            FeedTable.QUARANTINE,
+            QuarantineListener(dependencies.reader, control.scope) {
+                duties.ledgerExchange
+            },
+        )
     private val followers = listOf(configurationFollower, serverFollower, quarantineFollower)
     private val self =
         UdpPeer(settings.node, settings.domain, ServerAddress(settings.peers.host, settings.peers.port))
@@ -144,7 +149,7 @@
         traffic.close()
     }
 
-    private fun follower(table: FeedTable, listener: RowListener): RowFollower {
+    private fun newFollower(table: FeedTable, listener: RowListener): RowFollower {
         val settings = RowFollowerSettings(::pollTimeout, ::changePause)
         return RowFollower(dependencies.feed, table, listener, health, clock, events, settings)
     }
@@ -161,17 +166,16 @@
 
     private fun followedFeeds() = object : FollowedFeeds {
         override val newestChanges: NewestChanges
-            get() = NewestChanges(
-                configurationFollower.newestChange,
-                serverFollower.newestChange,
-                quarantineFollower.newestChange,
-            )
-
-        override fun changesSeenElsewhere(changes: NewestChanges) {
-            configurationFollower.changeSeenElsewhere(changes.configuration)
-            serverFollower.changeSeenElsewhere(changes.backendServers)
-            quarantineFollower.changeSeenElsewhere(changes.quarantine)
-        }
+            get() = NewestChanges.of { follower(it).newestChange }
+
+        override fun changesSeenElsewhere(changes: NewestChanges) =
+            FeedTable.entries.forEach { follower(it).changeSeenElsewhere(changes.of(it)) }
+    }
+
+    private fun follower(table: FeedTable): RowFollower = when (table) {
+        FeedTable.CONFIGURATION -> configurationFollower
+        FeedTable.BACKEND_SERVERS -> serverFollower
+        FeedTable.QUARANTINE -> quarantineFollower
     }
 
     /** Calls to the platform since the start, by path and outcome. */
--- a/src/main/kotlin/org/persimmonrelay/platform/RowFeed.kt
+++ b/src/main/kotlin/org/persimmonrelay/platform/RowFeed.kt
@@ -9,13 +9,13 @@
 
 /**
  * Rows as of store version [version]. [sentAt] is the time at which the request was sent, [newestChange] the store
- * version of the newest change among the rows, 0 when there are none.
+ * version of the newest change among the rows.
  */
 public class FeedResponse(
     public val rows: List<FeedRow>,
-    public val version: Long,
+    public val version: StoreVersion,
     public val sentAt: Moment,
-    public val newestChange: Long = 0,
+    public val newestChange: StoreVersion = StoreVersion.NONE,
 )
 
 /** Why a feed returned no rows. */
@@ -32,8 +32,11 @@
     /** All rows of [table], as of one version of the store. */
     public suspend fun snapshot(table: FeedTable): Either<FeedFailure, FeedResponse>
 
-    /** Rows of [table] that changed after [version]. Waits up to [wait] for a change; no rows means no change. */
-    public suspend fun changes(table: FeedTable, version: Long, wait: Duration): Either<FeedFailure, FeedResponse>
+    /**
+     * Rows of [table] that changed after [after]. Waits up to [wait] for a change; no rows means no change. When the
+     * store was restored since [after], the response has a version of the restored store, and its rows may not be all.
+     */
+    public suspend fun changes(table: FeedTable, after: StoreVersion, wait: Duration): Either<FeedFailure, FeedResponse>
 
     /** Closes connections to the store that are not in use, because they may be dead. */
     public fun closeIdleConnections()
--- a/src/main/kotlin/org/persimmonrelay/platform/RowFollower.kt
+++ b/src/main/kotlin/org/persimmonrelay/platform/RowFollower.kt
@@ -1,5 +1,6 @@
 package org.persimmonrelay.platform
 
+import arrow.core.Either
 import kotlinx.coroutines.async
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
@@ -41,7 +42,7 @@
 
 /**
  * Follows one table: reads all rows, then polls for changes. All rows are read again after every failure, when another
- * node has seen a change that did not arrive here, and periodically.
+ * node has seen a change that did not arrive here, when the store was restored from an older copy, and periodically.
  *
  * A poll that waits long can't be told from a connection that has gone silent. Other nodes therefore tell which changes
  * they have read ([changeSeenElsewhere]): the first of them whose poll ends makes all others read again.
@@ -62,23 +63,33 @@
 
     /** Store version up to which this node knows the table. */
     @Volatile
-    private var readUpTo = 0L
+    private var readUpTo = StoreVersion.NONE
 
-    /** Store version of the newest change of the table that this node has read; 0 before the first. */
+    /** Store version of the newest change of the table that this node has read. */
     @Volatile
-    public var newestChange: Long = 0
+    public var newestChange: StoreVersion = StoreVersion.NONE
         private set
 
     @Volatile
-    private var lastClaim = 0L
+    private var lastClaim = StoreVersion.NONE
 
     private enum class Interruption { CHANGE_SEEN_ELSEWHERE, STORE_LOST }
 
+    /** How a poll for changes ended. */
+    private sealed interface PollResult {
+        data class Read(val response: FeedResponse) : PollResult
+
+        data object Interrupted : PollResult
+
+        /** There are no changes to go on from. */
+        data object Failed : PollResult
+    }
+
     /**
      * Another node has read the change of store version [version]; if this node has not, it reads the table again, once
      * for each version, since reading shows whether there is such a change.
      */
-    public fun changeSeenElsewhere(version: Long) {
+    public fun changeSeenElsewhere(version: StoreVersion) {
         if (version <= readUpTo || version == lastClaim) return
         lastClaim = version
         interruptions.trySend(Interruption.CHANGE_SEEN_ELSEWHERE)
@@ -92,32 +103,51 @@
     /** Follows the table until cancelled. */
     public suspend fun run() {
         while (true) {
-            val response = feed.snapshot(table).fold({ onFailure(it) }, { it })
+            val response = readAll()
             if (response == null) {
                 delayBackoff()
                 continue
             }
-            onSuccess(response)
             listener.onSnapshot(response)
             followChanges(clock.now() + settings.snapshotInterval)
         }
     }
 
+    /** Null after a failure. A response from before a restore that this node knows of is outdated. */
+    private suspend fun readAll(): FeedResponse? {
+        val response = feed.snapshot(table).fold({ onFailure(it) }, { it }) ?: return null
+        if (response.version.restores < readUpTo.restores) return null
+        onSuccess(response)
+        return response
+    }
+
     private suspend fun followChanges(until: Moment) {
+        var isFirst = true
         while (clock.now() < until) {
-            val response = poll() ?: return
-            onSuccess(response)
-            listener.onChanges(response)
-            // Changes come in groups; without a pause, each would cost every node a call.
-            if (response.rows.isNotEmpty()) delay(settings.changePause())
+            when (val result = poll()) {
+                is PollResult.Read -> pass(result.response)
+                is PollResult.Interrupted -> return
+                is PollResult.Failed -> {
+                    // A table that can be read but not followed must not be read over and over.
+                    if (isFirst) delayBackoff()
+                    return
+                }
+            }
+            isFirst = false
         }
     }
 
-    /** The next response; null after a failure or an interruption. */
-    private suspend fun poll(): FeedResponse? = coroutineScope {
+    private suspend fun pass(response: FeedResponse) {
+        backoff = settings.firstBackoff
+        listener.onChanges(response)
+        // Changes come in groups; without a pause, each would cost every node a call.
+        if (response.rows.isNotEmpty()) delay(settings.changePause())
+    }
+
+    private suspend fun poll(): PollResult = coroutineScope {
         val call = async { feed.changes(table, readUpTo, settings.pollTimeout()) }
         select {
-            call.onAwait { result -> result.fold({ onFailure(it) }, { it }) }
+            call.onAwait { result -> onPolled(result) }
             interruptions.onReceive {
                 call.cancel()
                 onInterrupted(it)
@@ -125,18 +155,25 @@
         }
     }
 
-    private fun onInterrupted(interruption: Interruption): FeedResponse? {
+    private fun onPolled(result: Either<FeedFailure, FeedResponse>): PollResult {
+        val response = result.fold({ onFailure(it) }, { it })
+        if (response == null || response.version.restores != readUpTo.restores) return PollResult.Failed
+        onSuccess(response)
+        return PollResult.Read(response)
+    }
+
+    private fun onInterrupted(interruption: Interruption): PollResult {
         feed.closeIdleConnections()
         if (interruption == Interruption.CHANGE_SEEN_ELSEWHERE) {
-            events.record(PlatformEvent.CHANGE_MISSED, "table" with table, "readUpTo" with readUpTo)
+            events.record(PlatformEvent.CHANGE_MISSED, "table" with table, "readUpTo" with readUpTo.version)
         }
-        return null
+        return PollResult.Interrupted
     }
 
     private fun onFailure(failure: FeedFailure): FeedResponse? {
         when (failure) {
             is FeedFailure.HistoryLost ->
-                events.record(PlatformEvent.HISTORY_LOST, "table" with table, "readUpTo" with readUpTo)
+                events.record(PlatformEvent.HISTORY_LOST, "table" with table, "readUpTo" with readUpTo.version)
             is FeedFailure.Unavailable -> health.recordFailure(failure.message, clock.now())
         }
         return null
@@ -146,7 +183,6 @@
         readUpTo = maxOf(readUpTo, response.version)
         newestChange = maxOf(newestChange, response.newestChange)
         health.recordSuccess(clock.now())
-        backoff = settings.firstBackoff
     }
 
     private suspend fun delayBackoff() {
--- a/src/test/kotlin/org/persimmonrelay/node/QuarantineListenerTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/node/QuarantineListenerTest.kt
@@ -14,6 +14,7 @@
 import org.persimmonrelay.platform.FeedResponse
 import org.persimmonrelay.platform.FeedRow
 import org.persimmonrelay.platform.ReliableTable
+import org.persimmonrelay.platform.StoreVersion
 import org.persimmonrelay.quarantine.LedgerExchange
 import org.persimmonrelay.quarantine.LossLedger
 import org.persimmonrelay.quarantine.PartRecord
@@ -73,7 +74,8 @@
 
     private fun row(value: String) = FeedRow(LedgerExchange.ROW_KEY, value.encodeToByteArray())
 
-    private fun response(vararg rows: FeedRow) = FeedResponse(rows.toList(), version = 1, sentAt = Moment.ZERO)
+    private fun response(vararg rows: FeedRow) =
+        FeedResponse(rows.toList(), version = StoreVersion(0, 1), sentAt = Moment.ZERO)
 
     private fun TestScope.listener(): QuarantineListener {
         val exchange = LedgerExchange(
--- a/src/test/kotlin/org/persimmonrelay/platform/RowFollowerTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/platform/RowFollowerTest.kt
@@ -35,11 +35,11 @@
         feed.isSilent = true
         feed.version = 8
 
-        follower.changeSeenElsewhere(8)
+        follower.changeSeenElsewhere(StoreVersion(0, 8))
         runCurrent()
 
         assertEquals(2, snapshots.size)
-        assertEquals(8, follower.newestChange)
+        assertEquals(StoreVersion(0, 8), follower.newestChange)
         assertTrue(PlatformEvent.CHANGE_MISSED in events)
         assertEquals(1, feed.idleClosed)
     }
@@ -50,7 +50,7 @@
         val follower = follow(feed)
         runCurrent()
 
-        follower.changeSeenElsewhere(feed.version)
+        follower.changeSeenElsewhere(StoreVersion(0, feed.version))
         advanceTimeBy(1.seconds)
 
         assertEquals(1, snapshots.size)
@@ -63,7 +63,7 @@
         runCurrent()
 
         repeat(20) {
-            follower.changeSeenElsewhere(Long.MAX_VALUE)
+            follower.changeSeenElsewhere(StoreVersion(0, Long.MAX_VALUE))
             runCurrent()
         }
 
@@ -112,6 +112,64 @@
         assertEquals(feed.version, heard)
     }
 
+    /** Guards against a follower that reads a table without end, because it asks for changes after a version of before. */
+    @Test
+    fun `after the store was restored from an older copy the table is followed from the restored version`() = runTest {
+        val feed = FakeFeed(this)
+        val follower = follow(feed)
+        runCurrent()
+        repeat(3) { feed.change() }
+        advanceTimeBy(5.seconds)
+        feed.restore(copied = 6)
+        follower.storeLost()
+        advanceTimeBy(20.seconds)
+
+        assertTrue(feed.calls <= 8, "${feed.calls} polls")
+        assertTrue(snapshots.size <= 4, "${snapshots.size} reads of the whole table")
+        feed.change()
+        runCurrent()
+        assertEquals(7, heard)
+        assertEquals(StoreVersion(1, 7), follower.newestChange)
+    }
+
+    @Test
+    fun `a poll that the restored store answers for a version that it has assigned again reads the table again`() =
+        runTest {
+            val feed = FakeFeed(this)
+            follow(feed)
+            runCurrent()
+            feed.restore(copied = 3)
+            repeat(4) { feed.change() }
+            advanceTimeBy(1.seconds)
+
+            assertEquals(2, snapshots.size)
+        }
+
+    @Test
+    fun `a change from before a restore that this node knows of interrupts nothing`() = runTest {
+        val feed = FakeFeed(this)
+        feed.restore(copied = 3)
+        val follower = follow(feed)
+        runCurrent()
+
+        follower.changeSeenElsewhere(StoreVersion(0, 90))
+        runCurrent()
+        assertEquals(1, snapshots.size)
+
+        follower.changeSeenElsewhere(StoreVersion(2, 0))
+        runCurrent()
+        assertEquals(2, snapshots.size, "another restore")
+    }
+
+    @Test
+    fun `a table that can be read but not followed is not read over and over`() = runTest {
+        val feed = FakeFeed(this).apply { isHistoryLost = true }
+        follow(feed)
+        advanceTimeBy(10.seconds)
+
+        assertTrue(snapshots.size < 45, "${snapshots.size} reads in ten seconds")
+    }
+
     private fun TestScope.follow(feed: FakeFeed): RowFollower {
         val clock = VirtualClock(this)
         val listener = object : RowListener {
@@ -120,7 +178,7 @@
             }
 
             override fun onChanges(response: FeedResponse) {
-                heard = response.version
+                heard = response.version.version
             }
         }
         val health = StoreHealth({ code, _ -> events += code }) {}
@@ -139,6 +197,8 @@
 
     private class FakeFeed(private val scope: TestScope) : RowFeed {
         var version = 5L
+        var restores = 0L
+        var isHistoryLost = false
         var isSilent = false
         var idleClosed = 0
         var calls = 0
@@ -148,12 +208,12 @@
 
         override suspend fun changes(
             table: FeedTable,
-            version: Long,
+            after: StoreVersion,
             wait: Duration,
         ): Either<FeedFailure, FeedResponse> {
             calls++
-            val isChanged =
-                withTimeoutOrNull(wait) { while (this@FakeFeed.version <= version) changed.receive() } != null
+            if (isHistoryLost || after.version > version) return FeedFailure.HistoryLost.left()
+            val isChanged = withTimeoutOrNull(wait) { while (version <= after.version) changed.receive() } != null
             if (!isSilent) return response(if (isChanged) listOf(FeedRow("row", null)) else emptyList()).right()
             delay(SILENT_MARGIN)
             return FeedFailure.Unavailable("silent").left()
@@ -168,11 +228,19 @@
             changed.trySend(Unit)
         }
 
+        /** The store comes back from a copy with the version [copied]; polls in progress fail. */
+        fun restore(copied: Long) {
+            restores++
+            version = copied
+            isSilent = false
+            changed.trySend(Unit)
+        }
+
         private fun response(rows: List<FeedRow> = emptyList()) = FeedResponse(
             rows,
-            version,
+            StoreVersion(restores, version),
             Moment.ZERO + scope.testScheduler.currentTime.milliseconds,
-            newestChange = version,
+            newestChange = StoreVersion(restores, version),
         )
     }
 
