Do not bring back servers that have left, nor lose live ones, when the store was restored

Cause: a restored store lists servers as they were when the copy was made. A server that this node had seen drain or go was ready again, and one that had started since was taken for gone at once where the outage was under two seconds. The first is against what a node has acknowledged, the second takes a lost row for a deletion.

A node remembers the runs of servers that it has seen drain, which never take requests again, and those that it has seen go: these are used again only when they write their entry after the restore, or are still listed 8 s after it. Entries that the copy lacks get the grace period that follows an outage, however short the outage was.

--- a/src/main/kotlin/org/persimmonrelay/backend/BackendDirectory.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/BackendDirectory.kt
@@ -31,11 +31,14 @@
  * Maintains the list of backend servers. Runs on the control thread; the traffic thread reads [view].
  *
  * An entry that disappears while the store is unavailable may have lapsed only because its server could not renew it.
- * Such a server stays in use until [LAPSE_GRACE] after the store has recovered.
+ * Such a server stays in use until [LAPSE_GRACE] after the store has recovered. The same holds for an entry that a store
+ * restored from an older copy has lost; and an entry that it has again does not bring back a server that has left.
  */
 public class BackendDirectory(private val events: EventSink) {
     private val listed = HashMap<ServerId, BackendServer>()
     private val lapsed = HashMap<ServerId, Lapsed>()
+    private val outdated = HashMap<ServerId, BackendServer>()
+    private val departed = DepartedServers()
     private var storeRecoveredAt: Moment? = null
 
     /** A server whose entry may have lapsed. It is dropped at [until] unless it is listed again. */
@@ -56,11 +59,20 @@
         lapsed.replaceAll { _, entry -> entry.copy(until = now + LAPSE_GRACE) }
     }
 
+    /** The list read at [now] is the first since the store was restored from an older copy. */
+    public fun storeRestored(now: Moment) {
+        departed.storeRestored(now)
+        storeRecovered(now)
+    }
+
     /** Replaces the list by [servers], the complete result of one read of the store. */
     public fun replaceAll(servers: List<BackendServer>, storeUnavailable: Boolean, now: Moment) {
         val present = servers.associateBy { it.instance.id }
         listed.keys.filter { it !in present }.forEach { dropEntry(it, storeUnavailable, now) }
-        servers.forEach(::put)
+        val (old, current) = servers.partition { departed.mayBeGone(it.instance, now) }
+        outdated.clear()
+        old.associateByTo(outdated) { it.instance.id }
+        current.forEach(::put)
         isLoaded = true
         publish()
     }
@@ -77,9 +89,13 @@
         publish()
     }
 
-    /** Drops lapsed servers that were not listed again in time; does nothing while the store is unavailable. */
+    /**
+     * Drops lapsed servers that were not listed again in time, and uses servers that are listed long after they seemed to
+     * have gone; does nothing while the store is unavailable.
+     */
     public fun expireLapsed(storeUnavailable: Boolean, now: Moment) {
         if (storeUnavailable) return
+        outdated.values.filterNot { departed.mayBeGone(it.instance, now) }.forEach(::changed)
         val gone = lapsed.filterValues { now >= it.until }.keys.toList()
         if (gone.isEmpty()) return
         gone.forEach { events.record(BackendEvent.SERVER_GONE, "server" with it, "lapsed" with true) }
@@ -89,6 +105,9 @@
 
     private fun put(server: BackendServer) {
         lapsed.remove(server.instance.id)
+        outdated.remove(server.instance.id)
+        departed.recordListed(server.instance)
+        if (server.isDraining) departed.recordDraining(server.instance)
         val before = listed.put(server.instance.id, server)
         if (before == server) return
         events.record(
@@ -105,15 +124,18 @@
     }
 
     private fun dropEntry(id: ServerId, storeUnavailable: Boolean, now: Moment) {
+        outdated.remove(id)
         val server = listed.remove(id) ?: return
         val recentlyRecovered = storeRecoveredAt?.let { now - it < LAPSE_GRACE } ?: false
-        val mayHaveLapsed = (storeUnavailable || recentlyRecovered) && !server.isDraining
+        val mayHaveLapsed = (storeUnavailable || recentlyRecovered) && !departed.isDraining(server.instance)
+        if (!mayHaveLapsed) departed.recordGone(server.instance)
         if (mayHaveLapsed) lapsed[id] = Lapsed(server, (storeRecoveredAt ?: now) + LAPSE_GRACE)
         events.record(BackendEvent.SERVER_GONE, "server" with id, "lapsed" with mayHaveLapsed)
     }
 
     private fun publish() {
-        view = BackendView((listed.values + lapsed.values.map { it.server }).filterNot { it.isDraining })
+        val present = listed.values + lapsed.values.map { it.server }
+        view = BackendView(present.filterNot { departed.isDraining(it.instance) })
     }
 
     private companion object {
--- a/src/main/kotlin/org/persimmonrelay/node/ServerListener.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/ServerListener.kt
@@ -14,9 +14,13 @@
     private val health: () -> StoreHealth,
     private val clock: Clock,
 ) : RowListener {
+    private var restores = 0L
+
     override fun onSnapshot(response: FeedResponse) {
         val servers = response.rows.mapNotNull(reader::backendServer)
         val now = clock.now()
+        if (restores != 0L && response.version.restores != restores) directory.storeRestored(now)
+        restores = response.version.restores
         directory.replaceAll(servers, health().entriesMayHaveExpired(now), now)
     }
 
--- a/src/test/kotlin/org/persimmonrelay/backend/BackendDirectoryTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/backend/BackendDirectoryTest.kt
@@ -76,6 +76,60 @@
         assertTrue(a.instance in directory.view)
     }
 
+    /** Guards against requests to a server that left before the store was restored, and was listed again by the copy. */
+    @Test
+    fun `a server that this node has seen drain gets no requests when a restored store lists it as ready`() {
+        directory.replaceAll(listOf(a, server("b")), storeUnavailable = false, now = Moment.ZERO)
+        directory.changed(server("a", draining = true))
+        directory.storeRestored(Moment.ZERO + 1.seconds)
+        directory.replaceAll(listOf(a, server("b")), storeUnavailable = false, now = Moment.ZERO + 1.seconds)
+
+        directory.expireLapsed(storeUnavailable = false, now = Moment.ZERO + 60.seconds)
+
+        assertEquals(listOf("b"), directory.view.of(ENGINES).map { it.instance.id.value })
+    }
+
+    @Test
+    fun `a server that has gone is used again only if the restored store lists it for long, or it writes its entry`() {
+        listOf(a, server("b")).let { directory.replaceAll(it, storeUnavailable = false, now = Moment.ZERO) }
+        directory.removed(a.instance.id, storeUnavailable = false, now = Moment.ZERO)
+        directory.removed(server("b").instance.id, storeUnavailable = false, now = Moment.ZERO)
+        val restored = Moment.ZERO + 1.seconds
+        directory.storeRestored(restored)
+        directory.replaceAll(listOf(a, server("b")), storeUnavailable = false, now = restored)
+        assertEquals(0, directory.view.servers.size)
+
+        directory.changed(a)
+        assertEquals(listOf(a), directory.view.servers)
+
+        directory.expireLapsed(storeUnavailable = false, now = restored + 9.seconds)
+        assertEquals(setOf(a, server("b")), directory.view.servers.toSet())
+    }
+
+    @Test
+    fun `a server that came back before the restore stays in use`() {
+        directory.replaceAll(listOf(a), storeUnavailable = false, now = Moment.ZERO)
+        directory.removed(a.instance.id, storeUnavailable = false, now = Moment.ZERO)
+        directory.changed(a)
+
+        directory.storeRestored(Moment.ZERO + 1.seconds)
+        directory.replaceAll(listOf(a), storeUnavailable = false, now = Moment.ZERO + 1.seconds)
+
+        assertTrue(a.instance in directory.view)
+    }
+
+    @Test
+    fun `a server whose entry the restored store has lost stays in use until a grace period after the restore`() {
+        directory.replaceAll(listOf(a), storeUnavailable = false, now = Moment.ZERO)
+        val restored = Moment.ZERO + 1.seconds
+        directory.storeRestored(restored)
+        directory.replaceAll(emptyList(), storeUnavailable = false, now = restored)
+
+        assertTrue(a.instance in directory.view)
+        directory.expireLapsed(storeUnavailable = false, now = restored + 2_100.milliseconds)
+        assertFalse(a.instance in directory.view)
+    }
+
     @Test
     fun `a restart under the same id is another instance`() {
         directory.replaceAll(listOf(a), storeUnavailable = false, now = Moment.ZERO)
