Wait for the counts of nodes whose latest writer rows a restored store has lost

Cause: a node that has stored no usage for 11.5 s counts as stopped, and windows are closed without it. After a restore the rows are as old as the copy.

The time now counts from the restore at the earliest.

--- a/src/main/kotlin/org/persimmonrelay/usage/WindowCloser.kt
+++ b/src/main/kotlin/org/persimmonrelay/usage/WindowCloser.kt
@@ -46,6 +46,10 @@
     private data class Progress(val token: Long, val closedThrough: Long?, val hasPending: Boolean)
 
     private val ignoredRows = HashSet<String>()
+    private var restores = 0L
+
+    /** When this node noticed that the store was restored, in milliseconds since the Unix epoch; 0 if it never was. */
+    private var restoredAt = 0L
     private var progress = Progress(token = 0, closedThrough = null, hasPending = true)
 
     /** Competes for the duty's lease and closes and reports windows while this node holds it, until [scope] ends. */
@@ -61,17 +65,20 @@
 
     /** Closes due windows and reports closed ones. */
     internal suspend fun pass(heldLease: HeldLease) {
-        if (progress.token !=
-            heldLease.fencingToken
-        ) {
-            progress = Progress(heldLease.fencingToken, null, hasPending = true)
-        }
+        startOverIfChanged(heldLease.fencingToken)
         if (mayBeDue(clock.wallMillis())) closeDueWindows(heldLease)
         if (!progress.hasPending) return
         if (heldLease.isExclusive) return reportPending(heldLease)
         events.record(UsageEvent.REPORTS_HELD_BACK, "shard" with shard, "for" with heldLease.unresolved)
     }
 
+    /** What this node knows of the rows holds only for one lease and one restore of the table. */
+    private fun startOverIfChanged(token: Long) {
+        if (table.wasRestoredSince(restores)) restoredAt = clock.wallMillis()
+        restores = table.restores
+        if (progress.token != token) progress = Progress(token, null, hasPending = true)
+    }
+
     /** False while the latest window that ended before the grace time was closed by this node. */
     private fun mayBeDue(now: Long): Boolean =
         progress.closedThrough?.let { latestDue(now - settings.grace.inWholeMilliseconds) > it } ?: true
@@ -113,7 +120,8 @@
         if (settings.maxGrace <= settings.grace) return regular
         val writers = table.scan(keys.writers).getOrNull() ?: return null
         val forgetAfter = (settings.maxGrace + settings.window).inWholeMilliseconds
-        val stored = storedThrough(writers.map { WriterRow.decode(it.value) }, now, forgetAfter) ?: return regular
+        val progress = writers.map { WriterRow.decode(it.value) }
+        val stored = storedThrough(progress, now, forgetAfter, restoredAt) ?: return regular
         return minOf(regular, maxOf(stored, now - settings.maxGrace.inWholeMilliseconds))
     }
 
--- a/src/test/kotlin/org/persimmonrelay/usage/RestoredStoreTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/usage/RestoredStoreTest.kt
@@ -44,6 +44,18 @@
         later.forEach { (start, requests) -> assertEquals(REQUESTS_PER_WINDOW, requests, TOLERANCE, "window $start") }
     }
 
+    /** Guards against a window that is closed before all nodes have stored again what the store has lost. */
+    @Test
+    fun `each window that is reported has all of its requests`() = forEachRestore { fleet, age ->
+        val startedAt = testScheduler.currentTime
+        fleet.restoreStore(age.milliseconds, away = 2.seconds) { fleet.disconnectBystander(4.seconds) }
+        delay(30.seconds)
+
+        fleet.reportedRequests().filterKeys { it >= startedAt - 10_000 }.forEach { (start, requests) ->
+            assertEquals(REQUESTS_PER_WINDOW, requests, TOLERANCE, "window $start with a copy $age ms old")
+        }
+    }
+
     /** Guards against two holders that act under one fencing token, and against tokens that go back. */
     @Test
     fun `fencing tokens rise with each change of the holder, also when the store has lost a takeover`() =
--- a/src/test/kotlin/org/persimmonrelay/usage/UsageFleet.kt
+++ b/src/test/kotlin/org/persimmonrelay/usage/UsageFleet.kt
@@ -19,6 +19,7 @@
 import org.persimmonrelay.platform.Row
 import org.persimmonrelay.platform.SchedulerClock
 import org.persimmonrelay.platform.StoreUnavailable
+import org.persimmonrelay.platform.TableClientSettings
 import org.persimmonrelay.platform.UsageReports
 import org.persimmonrelay.standin.StandInTable
 import org.persimmonrelay.standin.StandInUsageReports
@@ -58,7 +59,9 @@
             CoroutineScope(
                 scope.backgroundScope.coroutineContext + SupervisorJob(scope.backgroundScope.coroutineContext.job),
             )
-        private val reliable = ReliableTable(TableClient(table), clock, Random(random.nextInt()))
+        val connection = DisconnectableTable(TableClient(table))
+        private val reliable =
+            ReliableTable(connection, clock, Random(random.nextInt()), TableClientSettings(maxBackoff = 1.seconds))
         private val newOperation = { OperationId("op-${operations++}") }
         private val leases = LeaseManager(
             table = reliable,
@@ -114,6 +117,16 @@
         nodes[name] = Node(name)
     }
 
+    /** A node that has not sent the latest report loses its connection to the store for [time]. */
+    fun disconnectBystander(time: Duration) {
+        val connection = nodes.getValue(names.first { it != sent.last().node }).connection
+        scope.backgroundScope.launch {
+            connection.isDisconnected = true
+            delay(time)
+            connection.isDisconnected = false
+        }
+    }
+
     /** The store is away for [away] and comes back from a copy that was made [age] before. */
     suspend fun restoreStore(age: Duration, away: Duration, meanwhile: () -> Unit = {}) {
         val copy: List<Row> = table.copy()
