Do not take nodes for stopped whose rows a restored store has lost

Cause: a node without a row in the store counts as stopped at once, since a node that leaves deletes its row. After a restore, the rows of nodes that have started since the copy are missing until their next heartbeat, 3 to 12 s later. The others would then share budgets and limits among too few nodes, and send them no reports.

After a restore, a node without a row has three periods to write it again.

--- a/src/main/kotlin/org/persimmonrelay/membership/LiveNodeRegistry.kt
+++ b/src/main/kotlin/org/persimmonrelay/membership/LiveNodeRegistry.kt
@@ -26,7 +26,8 @@
 /**
  * The running nodes, according to heartbeat rows in the store. Each node rewrites its row and reads those of the others
  * every heartbeat period, which grows with their number, so that the bytes that a node reads a second do not. A node
- * whose row has not changed for several periods counts as stopped. Functions must be called on the control thread;
+ * whose row has not changed for several periods counts as stopped. So does one without a row, unless the store was restored
+ * from an older copy and may have lost the row: such a node has several periods to write it again. Functions must be called on the control thread;
  * [liveNodes] and [peers] may be read from any thread.
  */
 public class LiveNodeRegistry(
@@ -40,6 +41,7 @@
 ) {
     private val observed = HashMap<NodeId, ObservedRow>()
     private var heartbeat = 0L
+    private var restores = 0L
 
     /** Running nodes, including this one. The same list instance until the set changes. */
     @Volatile
@@ -51,7 +53,8 @@
     public var peers: List<UdpPeer> = emptyList()
         private set
 
-    private data class ObservedRow(val row: NodeRow, val changedAt: Moment)
+    /** [mayBeLost] is true while the store may have lost the row by a restore. */
+    private data class ObservedRow(val row: NodeRow, val changedAt: Moment, val mayBeLost: Boolean = false)
 
     @Serializable
     private data class NodeRow(
@@ -91,12 +94,17 @@
         val rows = table.scan(PREFIX).getOrNull() ?: return
         val now = clock.now()
         val present = rows.mapNotNull(::decode).associateBy { it.node }
-        observed.keys.retainAll(present.keys)
-        present.values.forEach { row ->
-            if (observed[row.node]?.row != row) observed[row.node] = ObservedRow(row, now)
+        if (table.wasRestoredSince(restores)) {
+            observed.replaceAll { _, it ->
+                ObservedRow(it.row, now, mayBeLost = true)
+            }
         }
-        val timeout = heartbeatPeriod(present.size) * MISSED_HEARTBEATS
+        restores = table.restores
+        observed.entries.removeIf { (node, seen) -> node !in present && !seen.mayBeLost }
+        present.values.forEach { observe(it, now) }
+        val timeout = heartbeatPeriod(observed.size) * MISSED_HEARTBEATS
         val running = observed.filterValues { now - it.changedAt < timeout }
+        observed.entries.removeIf { (node, seen) -> seen.mayBeLost && node !in running }
         val others = running.values.filter { it.row.node != self.node }.mapNotNull { it.row.toPeer() }
         if (others != peers) peers = others
         val nodes = (running.keys + self.node).sortedBy { it.value }
@@ -105,6 +113,11 @@
         events.record(MembershipEvent.NODES_CHANGED, "nodes" with nodes.joinToString(","))
     }
 
+    private fun observe(row: NodeRow, now: Moment) {
+        val before = observed[row.node]
+        observed[row.node] = if (before?.row == row) before.copy(mayBeLost = false) else ObservedRow(row, now)
+    }
+
     private fun decode(row: Row): NodeRow? = try {
         Json.decodeFromString(NodeRow.serializer(), row.value)
     } catch (e: SerializationException) {
