Store the ledger of prompt parts again that a restored store has lost

Cause: a node drops an observation once the store has acknowledged it. After a restore the ledger in the store lacked what was written since the copy, and late joiners did not know of the quarantine.

When a node reads a restored store, it publishes all that it knows again; the usual random wait lets the first node store what the others know too. Without that, the new test finds no row.

--- a/src/main/kotlin/org/persimmonrelay/node/QuarantineListener.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/QuarantineListener.kt
@@ -13,7 +13,13 @@
     private val scope: CoroutineScope,
     private val exchange: () -> LedgerExchange,
 ) : RowListener {
-    override fun onSnapshot(response: FeedResponse) = passLedgers(response)
+    private var restores = 0L
+
+    override fun onSnapshot(response: FeedResponse) {
+        if (restores != 0L && response.version.restores != restores) scope.launch { exchange().storeRestored() }
+        restores = response.version.restores
+        passLedgers(response)
+    }
 
     override fun onChanges(response: FeedResponse) = passLedgers(response)
 
--- a/src/main/kotlin/org/persimmonrelay/quarantine/LedgerExchange.kt
+++ b/src/main/kotlin/org/persimmonrelay/quarantine/LedgerExchange.kt
@@ -53,15 +53,21 @@
         }
     }
 
+    /** The store was restored from an older copy, which may lack what nodes have stored since. */
+    public suspend fun storeRestored() {
+        withContext(quarantineThread) { quarantine.storeRestored() }
+    }
+
     /** True when the store has all that this node has observed. */
     private suspend fun publish(): Boolean {
+        val readAfter = table.restores
         val row = table.read(listOf(ROW_KEY)).fold({ return notStored(it.message) }, { it.firstOrNull() })
         val current = row?.let { decode(it.value) } ?: LossLedger.EMPTY
         val ledger = withContext(quarantineThread) {
             quarantine.adopt(current, now())
             quarantine.publish(current, now())
         } ?: return true
-        return when (val outcome = table.commit(transaction(row, ledger))) {
+        return when (val outcome = table.commit(transaction(row, ledger), readAfter)) {
             is CommitOutcome.Committed -> stored(ledger)
             is CommitOutcome.Conflict -> false
             is CommitOutcome.NotSent -> notStored(outcome.message)
--- a/src/main/kotlin/org/persimmonrelay/quarantine/PromptQuarantine.kt
+++ b/src/main/kotlin/org/persimmonrelay/quarantine/PromptQuarantine.kt
@@ -86,6 +86,12 @@
         update(nowMillis)
     }
 
+    /** The store was restored from an older copy: what it had is to be published again. */
+    public fun storeRestored() {
+        own = own.merge(stored)
+        unpublished.trySend(Unit)
+    }
+
     /** What the store should have in place of [ledger]; null when that has all that this node has observed. */
     public fun publish(ledger: LossLedger, nowMillis: Long): LossLedger? {
         val current = ledger.merge(LossLedger.EMPTY)
--- a/src/test/kotlin/org/persimmonrelay/node/QuarantineListenerTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/node/QuarantineListenerTest.kt
@@ -1,7 +1,9 @@
 package org.persimmonrelay.node
 
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.StandardTestDispatcher
 import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.advanceTimeBy
 import kotlinx.coroutines.test.runCurrent
 import kotlinx.coroutines.test.runTest
 import kotlinx.serialization.json.Json
@@ -24,13 +26,17 @@
 import org.persimmonrelay.standin.StandInTable
 import kotlin.random.Random
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
 import kotlin.test.assertNull
+import kotlin.time.Duration.Companion.seconds
 
 /** What a node makes of the rows that it reads of the followed table. */
 class QuarantineListenerTest {
     private val clock = ManualClock(wallOffsetMillis = 10_000)
     private val quarantine = PromptQuarantine { _, _ -> }
+    private val table = StandInTable()
+    private lateinit var exchange: LedgerExchange
     private val ledger = LossLedger(
         listOf(PartRecord("deadly", 0, List(3) { ServerLoss(ServerId("s$it"), 1, atMillis = 1_000L * it) })),
     )
@@ -63,6 +69,22 @@
         assertNotNull(quarantinedPart())
     }
 
+    /** Guards against a quarantine that only the nodes of before know, since the restored store has lost it. */
+    @Test
+    fun `a ledger that the restored store has lost is stored again`() = runTest {
+        val listener = listener()
+        backgroundScope.launch { exchange.run() }
+        listener.onSnapshot(response(row(text(ledger))))
+        runCurrent()
+
+        listener.onSnapshot(FeedResponse(emptyList(), StoreVersion(2, 1), sentAt = Moment.ZERO))
+        advanceTimeBy(2.seconds)
+
+        assertNotNull(quarantinedPart())
+        val stored = table.read(listOf(LedgerExchange.ROW_KEY)).getOrNull()?.single()?.value
+        assertEquals(3, stored?.let { Json.decodeFromString(LossLedger.serializer(), it) }?.get("deadly")?.losses?.size)
+    }
+
     private fun quarantinedPart() = quarantine.quarantinedPart(
         listOf("deadly", "own").map {
             PromptPart(it, 1)
@@ -75,11 +97,11 @@
     private fun row(value: String) = FeedRow(LedgerExchange.ROW_KEY, value.encodeToByteArray())
 
     private fun response(vararg rows: FeedRow) =
-        FeedResponse(rows.toList(), version = StoreVersion(0, 1), sentAt = Moment.ZERO)
+        FeedResponse(rows.toList(), version = StoreVersion(1, 1), sentAt = Moment.ZERO)
 
     private fun TestScope.listener(): QuarantineListener {
-        val exchange = LedgerExchange(
-            table = ReliableTable(StandInTable(), clock, Random(1)),
+        exchange = LedgerExchange(
+            table = ReliableTable(table, clock, Random(1)),
             quarantine = quarantine,
             quarantineThread = StandardTestDispatcher(testScheduler),
             nodeCount = { 1 },
