Let the same configuration version replace an earlier content that was written before it

Cause: a configuration with the version in force was ignored, whatever it contained. The store's own version now decides between two contents; an older version still never replaces a newer one. Without that, the new test serves the content of before.

--- a/src/main/kotlin/org/persimmonrelay/node/ConfigurationListener.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/ConfigurationListener.kt
@@ -17,6 +17,6 @@
     private fun offerAll(response: FeedResponse) = response.rows.forEach { offer(it, response) }
 
     private fun offer(row: FeedRow, response: FeedResponse) {
-        reader.routeTable(row)?.let { tables.offer(it, response.sentAt) }
+        reader.routeTable(row)?.let { tables.offer(it, response.sentAt, response.newestChange) }
     }
 }
--- a/src/main/kotlin/org/persimmonrelay/route/ActiveRouteTable.kt
+++ b/src/main/kotlin/org/persimmonrelay/route/ActiveRouteTable.kt
@@ -1,12 +1,14 @@
 package org.persimmonrelay.route
 
 import org.persimmonrelay.clock.Moment
+import org.persimmonrelay.platform.StoreVersion
 import org.persimmonrelay.timeline.EventSink
 import org.persimmonrelay.timeline.with
 
 /**
- * The configuration in force on this node. An older version never replaces a newer one. Written on the control thread,
- * read on the traffic thread.
+ * The configuration in force on this node. An older version never replaces a newer one. The same version replaces it if it
+ * was written to the store later: an operator may have written it again after a restore of the store. Written on the control
+ * thread, read on the traffic thread.
  */
 public class ActiveRouteTable(private val events: EventSink) {
     /** The newest version received; null before the first. */
@@ -19,8 +21,13 @@
     public var confirmedAt: Moment? = null
         private set
 
-    /** Puts [table] in force if it is newer. It was read from the store by a call sent at [sentAt]. */
-    public fun offer(table: RouteTable, sentAt: Moment) {
+    private var writtenAt = StoreVersion.NONE
+
+    /**
+     * Puts [table] in force if it is newer. It was read from the store by a call sent at [sentAt], and was written there at
+     * [version] or before.
+     */
+    public fun offer(table: RouteTable, sentAt: Moment, version: StoreVersion = StoreVersion.NONE) {
         val present = current
         if (present != null && table.version < present.version) {
             events.record(
@@ -31,7 +38,8 @@
             return
         }
         confirm(sentAt)
-        if (present?.version == table.version) return
+        if (present?.version == table.version && version <= writtenAt) return
+        writtenAt = version
         current = table
         events.record(
             RouteEvent.VERSION_IN_FORCE,
--- a/src/test/kotlin/org/persimmonrelay/route/RouteTableTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/route/RouteTableTest.kt
@@ -1,6 +1,7 @@
 package org.persimmonrelay.route
 
 import org.persimmonrelay.clock.Moment
+import org.persimmonrelay.platform.StoreVersion
 import org.persimmonrelay.timeline.EventSink
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -34,6 +35,17 @@
         assertEquals(100, (0 until 1_000).count { split.serviceFor(it) == ServiceId("y") })
     }
 
+    /** Guards against a configuration of before a restore that stays in force though the operator has written another. */
+    @Test
+    fun `the same version replaces a configuration if it was written to the store later`() {
+        val tables = ActiveRouteTable(EventSink.NONE)
+        tables.offer(table(7, route("before", "/a/")), Moment.ZERO, StoreVersion(1, 40))
+        tables.offer(table(7, route("after", "/a/")), Moment.ZERO, StoreVersion(2, 31))
+        tables.offer(table(7, route("before", "/a/")), Moment.ZERO, StoreVersion(1, 90))
+
+        assertEquals("after", tables.current?.match("host.example", "/a/")?.name)
+    }
+
     @Test
     fun `an older version never replaces a newer one`() {
         val tables = ActiveRouteTable(EventSink.NONE)
