Log what a request asks for as a hash of its content

The logs name a request's id, which is new each time, and not what it asks for, so that a request that comes again can't be told from others of its workspace. No decision changes.

--- a/src/main/kotlin/org/persimmonrelay/backend/RequestProfile.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/RequestProfile.kt
@@ -7,7 +7,8 @@
 
 /**
  * The properties of a request that placement depends on. For services that are not engines, [prompt] is empty and the
- * token counts are 0. [seed] spreads requests over servers of equal cost.
+ * token counts are 0. [seed] spreads requests over servers of equal cost. [contentHash] is the same for requests that ask for
+ * the same; null if it is not known.
  */
 public data class RequestProfile(
     val service: ServiceId,
@@ -15,6 +16,7 @@
     val promptTokens: Int = 0,
     val outputTokens: Int = 0,
     val seed: Int = 0,
+    val contentHash: String? = null,
 ) {
     /** Parts that other requests may share: all but the last, which belongs to this request or its session. */
     val shared: List<PromptPart> = prompt.dropLast(1)
--- a/src/main/kotlin/org/persimmonrelay/forward/RequestAdmission.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/RequestAdmission.kt
@@ -52,16 +52,25 @@
             route = route,
             service = service,
             workspace = workspace,
-            profile = profileFor(service.engine != null, id, attributes),
+            profile = profileFor(service.engine != null, id, attributes, contentHash(exchange, workspace?.id)),
             configVersion = table.version,
             deadline = exchange.arrivedAt + timeout,
         )
     }
 
-    private fun profileFor(isEngine: Boolean, service: ServiceId, attributes: RequestAttributes): RequestProfile {
-        val seed = attributes.id.hashCode()
-        if (!isEngine) return RequestProfile(service, seed = seed)
-        return RequestProfile(service, attributes.prompt, attributes.promptTokens, attributes.outputTokens, seed)
+    private fun profileFor(
+        isEngine: Boolean,
+        service: ServiceId,
+        attributes: RequestAttributes,
+        contentHash: String,
+    ): RequestProfile {
+        val plain = RequestProfile(service, seed = attributes.id.hashCode(), contentHash = contentHash)
+        if (!isEngine) return plain
+        return plain.copy(
+            prompt = attributes.prompt,
+            promptTokens = attributes.promptTokens,
+            outputTokens = attributes.outputTokens,
+        )
     }
 
     private fun workspaceFor(
