Keep the new code within the linter's bounds

Line lengths, an unused parameter, a name that hid another, one loop with fewer returns. No decision changes.

--- a/src/main/kotlin/org/persimmonrelay/backend/BackendDirectory.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/BackendDirectory.kt
@@ -31,8 +31,9 @@
  * Maintains the list of backend servers. Runs on the control thread; the traffic thread reads [view].
  *
  * An entry that disappears while the store is unavailable may have lapsed only because its server could not renew it.
- * Such a server stays in use until [LAPSE_GRACE] after the store has recovered. The same holds for an entry that a store
- * restored from an older copy has lost; and an entry that it has again does not bring back a server that has left.
+ * Such a server stays in use until [LAPSE_GRACE] after the store has recovered. The same holds for an entry that a
+ * store restored from an older copy has lost; and an entry that it has again does not bring back a server that has
+ * left.
  */
 public class BackendDirectory(private val events: EventSink) {
     private val listed = HashMap<ServerId, BackendServer>()
@@ -90,8 +91,8 @@
     }
 
     /**
-     * Drops lapsed servers that were not listed again in time, and uses servers that are listed long after they seemed to
-     * have gone; does nothing while the store is unavailable.
+     * Drops lapsed servers that were not listed again in time, and uses servers that are listed long after they seemed
+     * to have gone; does nothing while the store is unavailable.
      */
     public fun expireLapsed(storeUnavailable: Boolean, now: Moment) {
         if (storeUnavailable) return
--- a/src/main/kotlin/org/persimmonrelay/backend/DepartedServers.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/DepartedServers.kt
@@ -5,8 +5,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * The runs of servers that this node has seen leave. A store that was restored from an older copy lists them as they were
- * before, until they or the store write their entries again. Confined to the control thread.
+ * The runs of servers that this node has seen leave. A store that was restored from an older copy lists them as they
+ * were before, until they or the store write their entries again. Confined to the control thread.
  */
 internal class DepartedServers {
     private val draining = BoundedSet()
--- a/src/main/kotlin/org/persimmonrelay/backend/RequestProfile.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/RequestProfile.kt
@@ -7,8 +7,8 @@
 
 /**
  * The properties of a request that placement depends on. For services that are not engines, [prompt] is empty and the
- * token counts are 0. [seed] spreads requests over servers of equal cost. [contentHash] is the same for requests that ask for
- * the same; null if it is not known.
+ * token counts are 0. [seed] spreads requests over servers of equal cost. [contentHash] is the same for requests that
+ * ask for the same; null if it is not known.
  */
 public data class RequestProfile(
     val service: ServiceId,
--- a/src/main/kotlin/org/persimmonrelay/forward/ContentHash.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ContentHash.kt
@@ -6,8 +6,8 @@
 import java.util.HexFormat
 
 /**
- * Identifies what a request asks for: the same for requests of one workspace with the same method, host, target and body,
- * whatever their ids and other headers are, on every node.
+ * Identifies what a request asks for: the same for requests of one workspace with the same method, host, target and
+ * body, whatever their ids and other headers are, on every node.
  */
 internal fun contentHash(exchange: CallerExchange, workspace: WorkspaceId?): String {
     val head = exchange.head
--- a/src/main/kotlin/org/persimmonrelay/forward/RequestGuard.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/RequestGuard.kt
@@ -38,9 +38,9 @@
 
     /**
      * [server] closed the connection within its response to [request] or fell silent. The first part of the response
-     * arrived at [respondedAt], null if none did. [isRetry] is true if the request had failed in the same way at another
-     * server before. A server that refuses a new connection has ended; others may have failed in another way, or may be
-     * cut off. A server that was leaving ends as planned and does not count.
+     * arrived at [respondedAt], null if none did. [isRetry] is true if the request had failed in the same way at
+     * another server before. A server that refuses a new connection has ended; others may have failed in another way,
+     * or may be cut off. A server that was leaving ends as planned and does not count.
      */
     fun serverMayHaveEnded(server: BackendServer, request: RequestProfile, respondedAt: Moment?, isRetry: Boolean) {
         if (server.instance !in directory.view) return
@@ -56,7 +56,9 @@
     }
 
     private companion object {
-        /** A request that ends a server does so when the server begins to write; a stream past that is not the cause. */
+        /**
+         * A request that ends a server does so when the server begins to write; a stream past that is not the cause.
+         */
         val START_OF_RESPONSE = 500.milliseconds
         val CONNECT_TIMEOUT = 400.milliseconds
     }
--- a/src/main/kotlin/org/persimmonrelay/lease/LeaseCandidate.kt
+++ b/src/main/kotlin/org/persimmonrelay/lease/LeaseCandidate.kt
@@ -5,8 +5,8 @@
 
 /**
  * The heartbeat row as a candidate last read it. [unchangedSince] is when the answer arrived that first showed this
- * version, null before the first read; [lastReadAt] is when the last successful read was sent. [restores] is the table's
- * number of restores at that read.
+ * version, null before the first read; [lastReadAt] is when the last successful read was sent. [restores] is the
+ * table's number of restores at that read.
  */
 internal data class CandidateState(
     val row: HeartbeatRow? = null,
--- a/src/main/kotlin/org/persimmonrelay/lease/LeaseHolder.kt
+++ b/src/main/kotlin/org/persimmonrelay/lease/LeaseHolder.kt
@@ -69,8 +69,8 @@
     )
 
     /**
-     * The next step, when the table is known to have been restored [restores] times; [unresolved] replaces the row's list
-     * of earlier holders in the next renewal.
+     * The next step, when the table is known to have been restored [restores] times; [unresolved] replaces the row's
+     * list of earlier holders in the next renewal.
      */
     fun next(state: HolderState, unresolved: List<HolderId>, restores: Long, now: Moment): HolderAction = when {
         now >= state.validUntil -> HolderAction.Lapse
--- a/src/main/kotlin/org/persimmonrelay/lease/LeaseManager.kt
+++ b/src/main/kotlin/org/persimmonrelay/lease/LeaseManager.kt
@@ -54,8 +54,8 @@
     public fun heldLeases(): List<HeldLease> = duties.keys.mapNotNull(::heldLease)
 
     /**
-     * Calls [send] if this process holds [duty] under the fencing token [token] now. Null when it does not, or when [send] returns null,
-     * which stands for a message without an answer.
+     * Calls [send] if this process holds [duty] under the fencing token [token] now. Null when it does not, or when
+     * [send] returns null, which stands for a message without an answer.
      */
     public suspend fun <T : Any> runIfHeld(duty: Duty, token: Long, send: suspend () -> T?): T? =
         duties[duty]?.runIfHeld(token, send)
--- a/src/main/kotlin/org/persimmonrelay/membership/LiveNodeRegistry.kt
+++ b/src/main/kotlin/org/persimmonrelay/membership/LiveNodeRegistry.kt
@@ -26,9 +26,9 @@
 /**
  * The running nodes, according to heartbeat rows in the store. Each node rewrites its row and reads those of the others
  * every heartbeat period, which grows with their number, so that the bytes that a node reads a second do not. A node
- * whose row has not changed for several periods counts as stopped. So does one without a row, unless the store was restored
- * from an older copy and may have lost the row: such a node has several periods to write it again. Functions must be called on the control thread;
- * [liveNodes] and [peers] may be read from any thread.
+ * whose row has not changed for several periods counts as stopped. So does one without a row, unless the store was
+ * restored from an older copy and may have lost the row: such a node has several periods to write it again. Functions
+ * must be called on the control thread; [liveNodes] and [peers] may be read from any thread.
  */
 public class LiveNodeRegistry(
     private val table: ReliableTable,
@@ -95,9 +95,7 @@
         val now = clock.now()
         val present = rows.mapNotNull(::decode).associateBy { it.node }
         if (table.wasRestoredSince(restores)) {
-            observed.replaceAll { _, it ->
-                ObservedRow(it.row, now, mayBeLost = true)
-            }
+            observed.replaceAll { _, seen -> ObservedRow(seen.row, now, mayBeLost = true) }
         }
         restores = table.restores
         observed.entries.removeIf { (node, seen) -> node !in present && !seen.mayBeLost }
--- a/src/main/kotlin/org/persimmonrelay/node/TimeAgreement.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/TimeAgreement.kt
@@ -15,8 +15,8 @@
 
 /**
  * Agrees with the other nodes on the offset between the store's clock and the time of day. The first node that writes
- * its offset to the store decides. When the store was restored from an older copy and has lost the offset, a node proposes
- * the agreed one again.
+ * its offset to the store decides. When the store was restored from an older copy and has lost the offset, a node
+ * proposes the agreed one again.
  */
 internal class TimeAgreement(
     private val table: ReliableTable,
--- a/src/main/kotlin/org/persimmonrelay/platform/ReliableTable.kt
+++ b/src/main/kotlin/org/persimmonrelay/platform/ReliableTable.kt
@@ -67,13 +67,14 @@
     }
 
     private suspend fun commitReliably(transaction: Transaction, readAfter: Long): CommitOutcome {
-        repeat(settings.commitAttempts) { attempt ->
-            if (wasRestoredSince(readAfter)) return unknown(RESTORED)
-            when (val callResult = sendCommit(transaction)) {
-                is CallResult.Refused -> return refused(callResult, attempt)
-                is CallResult.Responded -> return outcomeOf(transaction, callResult.value, attempt)
-                is CallResult.NoResponse -> resolve(transaction)?.let { return it }
+        for (attempt in 0 until settings.commitAttempts) {
+            if (wasRestoredSince(readAfter)) break
+            val outcome = when (val callResult = sendCommit(transaction)) {
+                is CallResult.Refused -> refused(callResult, attempt)
+                is CallResult.Responded -> outcomeOf(transaction, callResult.value, attempt)
+                is CallResult.NoResponse -> resolve(transaction)
             }
+            if (outcome != null) return outcome
         }
         return unknown("The table service gave no answer to ${settings.commitAttempts} attempts.")
     }
--- a/src/main/kotlin/org/persimmonrelay/quarantine/LossLedger.kt
+++ b/src/main/kotlin/org/persimmonrelay/quarantine/LossLedger.kt
@@ -1,8 +1,8 @@
 /*
  * Some requests end each backend server that begins to run them, whatever node sends them: because of a part of their
  * prompt that others share, or because of all that they ask for. A node that sees a server end can't tell which of the
- * requests there was the cause. Nodes therefore pool what they observe in one ledger, a row of the store. A suspect that
- * was in the requests of several servers that ended, one after the other, and of no complete response since, is
+ * requests there was the cause. Nodes therefore pool what they observe in one ledger, a row of the store. A suspect
+ * that was in the requests of several servers that ended, one after the other, and of no complete response since, is
  * quarantined: requests with it are refused.
  */
 package org.persimmonrelay.quarantine
--- a/src/main/kotlin/org/persimmonrelay/quarantine/QuarantineEvent.kt
+++ b/src/main/kotlin/org/persimmonrelay/quarantine/QuarantineEvent.kt
@@ -10,7 +10,7 @@
     ),
     REQUESTS_QUARANTINED(
         3201,
-        "Servers ended one after the other under a prompt part or a request that came again; such requests are refused.",
+        "Servers ended one after the other under a prompt part or a repeated request; such requests are refused.",
     ),
     REQUESTS_RELEASED(3202, "Requests are no longer quarantined: that expired, or other causes explain the losses."),
     LEDGER_STORED(3203, "This node added its observations to the ledger of all nodes."),
--- a/src/main/kotlin/org/persimmonrelay/quarantine/Suspect.kt
+++ b/src/main/kotlin/org/persimmonrelay/quarantine/Suspect.kt
@@ -3,9 +3,9 @@
 import org.persimmonrelay.backend.RequestProfile
 
 /**
- * What may end servers: a shared part of a prompt, or all that a request asks for. [id] tells it from others on every node.
- * [position] is that of the part in its prompt; of two suspects that always came together, the later one concerns fewer
- * requests.
+ * What may end servers: a shared part of a prompt, or all that a request asks for. [id] tells it from others on every
+ * node. [position] is that of the part in its prompt; of two suspects that always came together, the later one concerns
+ * fewer requests.
  */
 public data class Suspect(val id: String, val position: Int) {
     /** True for all that a request asks for, false for a part of its prompt. */
--- a/src/main/kotlin/org/persimmonrelay/quarantine/SuspectRecord.kt
+++ b/src/main/kotlin/org/persimmonrelay/quarantine/SuspectRecord.kt
@@ -5,8 +5,9 @@
 import org.persimmonrelay.identity.ServerId
 
 /**
- * The end, at [atMillis], of the run of a backend server that began at [startedAtMillis]; both in Unix time. [isRetry] is
- * true if the server got the request after another one had failed under it, so that the two did not end at one moment.
+ * The end, at [atMillis], of the run of a backend server that began at [startedAtMillis]; both in Unix time. [isRetry]
+ * is true if the server got the request after another one had failed under it, so that the two did not end at one
+ * moment.
  */
 @Serializable
 public data class ServerLoss(
@@ -24,7 +25,8 @@
  * What nodes have observed of the [Suspect] with [id] and [position]. Times are in Unix milliseconds.
  *
  * [losses] are servers that ended as they began to run a request with it, after its last complete response at
- * [completeAtMillis], which is null when none is known. [refusedAtMillis] is when a request was last refused because of it.
+ * [completeAtMillis], which is null when none is known. [refusedAtMillis] is when a request was last refused because of
+ * it.
  */
 @Serializable
 public data class SuspectRecord(
--- a/src/main/kotlin/org/persimmonrelay/route/ActiveRouteTable.kt
+++ b/src/main/kotlin/org/persimmonrelay/route/ActiveRouteTable.kt
@@ -6,9 +6,9 @@
 import org.persimmonrelay.timeline.with
 
 /**
- * The configuration in force on this node. An older version never replaces a newer one. The same version replaces it if it
- * was written to the store later: an operator may have written it again after a restore of the store. Written on the control
- * thread, read on the traffic thread.
+ * The configuration in force on this node. An older version never replaces a newer one. The same version replaces it if
+ * it was written to the store later: an operator may have written it again after a restore of the store. Written on the
+ * control thread, read on the traffic thread.
  */
 public class ActiveRouteTable(private val events: EventSink) {
     /** The newest version received; null before the first. */
@@ -24,8 +24,8 @@
     private var writtenAt = StoreVersion.NONE
 
     /**
-     * Puts [table] in force if it is newer. It was read from the store by a call sent at [sentAt], and was written there at
-     * [version] or before.
+     * Puts [table] in force if it is newer. It was read from the store by a call sent at [sentAt], and was written
+     * there at [version] or before.
      */
     public fun offer(table: RouteTable, sentAt: Moment, version: StoreVersion = StoreVersion.NONE) {
         val present = current
--- a/src/main/kotlin/org/persimmonrelay/standin/StandInTable.kt
+++ b/src/main/kotlin/org/persimmonrelay/standin/StandInTable.kt
@@ -33,7 +33,9 @@
     /** The rows as they are now. */
     public fun copy(): List<Row> = synchronized(rows) { rows.values.toList() }
 
-    /** Comes back from [copy], which was taken earlier: later writes are lost, and their versions are assigned again. */
+    /**
+     * Comes back from [copy], which was taken earlier: later writes are lost, and their versions are assigned again.
+     */
     public fun restore(copy: List<Row>): Unit = synchronized(rows) {
         rows.clear()
         copy.associateByTo(rows) { it.key }
--- a/src/main/kotlin/org/persimmonrelay/usage/ReportHistory.kt
+++ b/src/main/kotlin/org/persimmonrelay/usage/ReportHistory.kt
@@ -17,9 +17,9 @@
  * Tells which windows may have been reported although the table has no row of them.
  *
  * A table that was restored from an older copy has lost the rows of windows that were closed since. A report can't be
- * taken back, so that such a window must not be reported again. The first holder of the lease after a restore stores up to
- * when windows are in doubt: up to the present, or up to the last window that it has tried to close itself, if it has held
- * the lease since the copy was made.
+ * taken back, so that such a window must not be reported again. The first holder of the lease after a restore stores up
+ * to when windows are in doubt: up to the present, or up to the last window that it has tried to close itself, if it
+ * has held the lease since the copy was made.
  */
 internal class ReportHistory(
     private val table: ReliableTable,
@@ -30,7 +30,9 @@
     private var known: RestoreRow? = null
     private var closed: ClosedWindows? = null
 
-    /** [throughMillis] is the end of the last window that this process has tried to close since it [acquiredAt] a lease. */
+    /**
+     * [throughMillis] is the end of the last window that this process has tried to close since it [acquiredAt] a lease.
+     */
     private data class ClosedWindows(val restores: Long, val acquiredAt: Moment, val throughMillis: Long)
 
     /** This process is about to close the window that ends at [endMillis], in milliseconds since the Unix epoch. */
@@ -40,8 +42,8 @@
     }
 
     /**
-     * Windows that ended by the result, in milliseconds since the Unix epoch, may have been reported. Null when that can't
-     * be read or stored at [nowMillis].
+     * Windows that ended by the result, in milliseconds since the Unix epoch, may have been reported. Null when that
+     * can't be read or stored at [nowMillis].
      */
     suspend fun inDoubtThrough(heldLease: HeldLease, nowMillis: Long): Long? {
         if (heldLease.restores == 0L) return 0
@@ -71,7 +73,10 @@
         return current
     }
 
-    /** A lease that goes on after the restore was acquired before the copy was made; no other node has closed windows since. */
+    /**
+     * A lease that goes on after the restore was acquired before the copy was made; no other node has closed windows
+     * since.
+     */
     private fun lastInDoubt(heldLease: HeldLease, nowMillis: Long): Long {
         val own = closed?.takeIf { it.restores == heldLease.restores - 1 && it.acquiredAt == heldLease.acquiredAt }
         return own?.throughMillis ?: nowMillis
--- a/src/main/kotlin/org/persimmonrelay/usage/SegmentMerger.kt
+++ b/src/main/kotlin/org/persimmonrelay/usage/SegmentMerger.kt
@@ -2,7 +2,6 @@
 
 import org.persimmonrelay.identity.Incarnation
 import org.persimmonrelay.identity.OperationId
-import org.persimmonrelay.lease.Duty
 import org.persimmonrelay.lease.HeldLease
 import org.persimmonrelay.lease.LeaseKeys
 import org.persimmonrelay.platform.CommitOutcome
@@ -14,7 +13,6 @@
 /** Merges segments of a window, up to [maxSegments] into one, if it has more than a transaction can consume. */
 internal class SegmentMerger(
     private val table: ReliableTable,
-    private val duty: Duty,
     private val keys: UsageKeys,
     private val maxSegments: Int,
     private val newOperation: () -> OperationId,
--- a/src/main/kotlin/org/persimmonrelay/usage/UsageRecorder.kt
+++ b/src/main/kotlin/org/persimmonrelay/usage/UsageRecorder.kt
@@ -21,9 +21,9 @@
  * Counts usage on one node and stores it as segments.
  *
  * The segments of a flush are stored together. When that fails, they stay in memory and are sent again, unchanged,
- * before later ones. Those that were stored lately stay in memory too: when the store was restored from an older copy, the
- * writer row there tells which of them it has lost, and these are stored again. If a node is killed, its counts since the
- * last flush are not billed.
+ * before later ones. Those that were stored lately stay in memory too: when the store was restored from an older copy,
+ * the writer row there tells which of them it has lost, and these are stored again. If a node is killed, its counts
+ * since the last flush are not billed.
  */
 public class UsageRecorder(
     private val table: ReliableTable,
@@ -77,7 +77,9 @@
         countedThrough >= windowStartOf(now) || storeProgress(now)
     }
 
-    /** Makes pending again what the restored store has lost, according to its row of this writer; false if unreadable. */
+    /**
+     * Makes pending again what the restored store has lost, according to its row of this writer; false if unreadable.
+     */
     private suspend fun readWriterRow(): Boolean {
         val readAfter = table.restores
         val rows = table.read(listOf(keys.writer(incarnation))).fold({ return notRead(it.message) }, { it })
--- a/src/main/kotlin/org/persimmonrelay/usage/WindowCloser.kt
+++ b/src/main/kotlin/org/persimmonrelay/usage/WindowCloser.kt
@@ -40,7 +40,7 @@
     private val duty = Duty.usage(shard)
     private val keys = UsageKeys(shard)
     private val history = ReportHistory(table, keys, newOperation, events)
-    private val merger = SegmentMerger(table, duty, keys, settings.maxSegmentsPerWindow, newOperation)
+    private val merger = SegmentMerger(table, keys, settings.maxSegmentsPerWindow, newOperation)
 
     /** What this node has already done under the lease with [token]; saves reads that can find nothing new. */
     private data class Progress(val token: Long, val closedThrough: Long?, val hasPending: Boolean)
@@ -120,14 +120,14 @@
         if (settings.maxGrace <= settings.grace) return regular
         val writers = table.scan(keys.writers).getOrNull() ?: return null
         val forgetAfter = (settings.maxGrace + settings.window).inWholeMilliseconds
-        val progress = writers.map { WriterRow.decode(it.value) }
-        val stored = storedThrough(progress, now, forgetAfter, restoredAt) ?: return regular
+        val rows = writers.map { WriterRow.decode(it.value) }
+        val stored = storedThrough(rows, now, forgetAfter, restoredAt) ?: return regular
         return minOf(regular, maxOf(stored, now - settings.maxGrace.inWholeMilliseconds))
     }
 
     /**
-     * Starts of those windows of [segments], and of the latest due one, that are closed or ended by [inDoubtThrough]; null
-     * when a read failed.
+     * Starts of those windows of [segments], and of the latest due one, that are closed or ended by [inDoubtThrough];
+     * null when a read failed.
      */
     private suspend fun closedWindows(
         segments: List<StoredSegment>,
--- a/src/test/kotlin/org/persimmonrelay/backend/BackendDirectoryTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/backend/BackendDirectoryTest.kt
@@ -76,7 +76,9 @@
         assertTrue(a.instance in directory.view)
     }
 
-    /** Guards against requests to a server that left before the store was restored, and was listed again by the copy. */
+    /**
+     * Guards against requests to a server that left before the store was restored, and was listed again by the copy.
+     */
     @Test
     fun `a server that this node has seen drain gets no requests when a restored store lists it as ready`() {
         directory.replaceAll(listOf(a, server("b")), storeUnavailable = false, now = Moment.ZERO)
--- a/src/test/kotlin/org/persimmonrelay/platform/RowFollowerTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/platform/RowFollowerTest.kt
@@ -112,7 +112,9 @@
         assertEquals(feed.version, heard)
     }
 
-    /** Guards against a follower that reads a table without end, because it asks for changes after a version of before. */
+    /**
+     * Guards against a follower that reads a table without end, because it asks for changes after a version of before.
+     */
     @Test
     fun `after the store was restored from an older copy the table is followed from the restored version`() = runTest {
         val feed = FakeFeed(this)
--- a/src/test/kotlin/org/persimmonrelay/quarantine/QuarantineFleet.kt
+++ b/src/test/kotlin/org/persimmonrelay/quarantine/QuarantineFleet.kt
@@ -22,9 +22,10 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Nodes in virtual time that share a ledger through a table and send requests to engines. Either a shared part of prompts is
- * [DEADLY], or with [isWholeRequestDeadly] one request that comes again. An engine that begins to answer a prompt with [DEADLY] ends [CRASH_AFTER] later, breaks its other requests, and is back after [BACK_AFTER].
- * Each node reads the row [feedDelay] after it has changed, a share [lostUpdates] of the times only after [LATE_READ].
+ * Nodes in virtual time that share a ledger through a table and send requests to engines. Either a shared part of
+ * prompts is [DEADLY], or with [isWholeRequestDeadly] one request that comes again. An engine that begins to answer a
+ * prompt with [DEADLY] ends [CRASH_AFTER] later, breaks its other requests, and is back after [BACK_AFTER]. Each node
+ * reads the row [feedDelay] after it has changed, a share [lostUpdates] of the times only after [LATE_READ].
  */
 internal class QuarantineFleet(
     private val scope: TestScope,
--- a/src/test/kotlin/org/persimmonrelay/route/RouteTableTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/route/RouteTableTest.kt
@@ -35,7 +35,9 @@
         assertEquals(100, (0 until 1_000).count { split.serviceFor(it) == ServiceId("y") })
     }
 
-    /** Guards against a configuration of before a restore that stays in force though the operator has written another. */
+    /**
+     * Guards against a configuration of before a restore that stays in force though the operator has written another.
+     */
     @Test
     fun `the same version replaces a configuration if it was written to the store later`() {
         val tables = ActiveRouteTable(EventSink.NONE)
