--- a/src/main/kotlin/org/persimmonrelay/node/QuarantineListener.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/QuarantineListener.kt
@@ -7,7 +7,7 @@
 import org.persimmonrelay.platform.RowListener
 import org.persimmonrelay.quarantine.LedgerExchange
 
-/** Passes each ledger of prompt parts that is read from the store to [exchange], and its deletion by operators. */
+/** Passes each ledger of lost servers that is read from the store to [exchange], and its deletion by operators. */
 internal class QuarantineListener(
     private val reader: RowReader,
     private val scope: CoroutineScope,
--- a/src/main/kotlin/org/persimmonrelay/node/RelayDuties.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/RelayDuties.kt
@@ -126,7 +126,7 @@
     fun start(scope: CoroutineScope) {
         scope.launchSupervised("membership", events) { membership.run() }
         scope.launch { timeAgreement.run() }
-        scope.launchSupervised("prompt part ledger", events) { ledgerExchange.run() }
+        scope.launchSupervised("loss ledger", events) { ledgerExchange.run() }
         usageRecorder.start(scope)
         windowCloser?.start(scope)
         scale?.start(scope)
--- a/src/main/kotlin/org/persimmonrelay/node/RelayNode.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/RelayNode.kt
@@ -60,12 +60,7 @@
         newFollower(FeedTable.BACKEND_SERVERS, ServerListener(dependencies.reader, directory, { health }, clock))
     private val quarantine = RequestQuarantine(events)
     private val quarantineFollower =
-        newFollower(
-            FeedTable.QUARANTINE,
-            QuarantineListener(dependencies.reader, control.scope) {
-                duties.ledgerExchange
-            },
-        )
+        newFollower(FeedTable.QUARANTINE, quarantineListener())
     private val followers = listOf(configurationFollower, serverFollower, quarantineFollower)
     private val self =
         UdpPeer(settings.node, settings.domain, ServerAddress(settings.peers.host, settings.peers.port))
@@ -149,6 +144,8 @@
         traffic.close()
     }
 
+    private fun quarantineListener() = QuarantineListener(dependencies.reader, control.scope) { duties.ledgerExchange }
+
     private fun newFollower(table: FeedTable, listener: RowListener): RowFollower {
         val settings = RowFollowerSettings(::pollTimeout, ::changePause)
         return RowFollower(dependencies.feed, table, listener, health, clock, events, settings)
--- a/src/main/kotlin/org/persimmonrelay/node/ScaleDuty.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/ScaleDuty.kt
@@ -35,7 +35,9 @@
     /** The duty of closing usage windows is used here too, so that nodes watch a single lease. */
     private val duty = Duty.usage(0)
     private val planner = ScalePlanner()
-    private var token = 0L
+
+    /** The fencing token of the lease for which [planner] has recorded answers. */
+    private var plannedToken = 0L
 
     /** Competes for the duty and plans scaling while this node holds it, until [scope] ends. */
     fun start(scope: CoroutineScope) {
@@ -49,8 +51,8 @@
     }
 
     private suspend fun runOnce(heldLease: HeldLease) {
-        if (heldLease.fencingToken != token) planner.reset()
-        token = heldLease.fencingToken
+        if (heldLease.fencingToken != plannedToken) planner.reset()
+        plannedToken = heldLease.fencingToken
         val table = tables.current ?: return
         table.services.values.filter { it.scaling != null }.forEach { service ->
             planner.plan(service, serverCounts(service), clock.now()).forEach { send(it, heldLease) }
--- a/src/main/kotlin/org/persimmonrelay/quarantine/LossLedger.kt
+++ b/src/main/kotlin/org/persimmonrelay/quarantine/LossLedger.kt
@@ -55,8 +55,8 @@
             .thenByDescending { it.newestMillis }
             .thenBy { it.id }
 
-        private fun of(byPart: Collection<List<SuspectRecord>>): LossLedger =
-            LossLedger(byPart.map(::mergeAll).sortedWith(ORDER).take(MAX_RECORDS))
+        private fun of(bySuspect: Collection<List<SuspectRecord>>): LossLedger =
+            LossLedger(bySuspect.map(::mergeAll).sortedWith(ORDER).take(MAX_RECORDS))
 
         /** A single record is merged with itself, which drops the losses that its complete response clears. */
         private fun mergeAll(same: List<SuspectRecord>): SuspectRecord = same.fold(same.first(), SuspectRecord::merge)
--- a/src/main/kotlin/org/persimmonrelay/quarantine/RecentCompletions.kt
+++ b/src/main/kotlin/org/persimmonrelay/quarantine/RecentCompletions.kt
@@ -1,20 +1,20 @@
 package org.persimmonrelay.quarantine
 
-/** When prompt parts were last in the prompt of a complete response, for the parts used most recently. */
+/** When suspects were last in a request with a complete response, for those used most recently. */
 internal class RecentCompletions {
-    private val byPart = object : LinkedHashMap<String, Long>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
-        override fun removeEldestEntry(eldest: Map.Entry<String, Long>) = size > MAX_PARTS
+    private val bySuspect = object : LinkedHashMap<String, Long>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
+        override fun removeEldestEntry(eldest: Map.Entry<String, Long>) = size > MAX_SUSPECTS
     }
 
-    fun record(part: String, atMillis: Long) {
-        byPart[part] = atMillis
+    fun record(suspect: String, atMillis: Long) {
+        bySuspect[suspect] = atMillis
     }
 
     /** Unix time in milliseconds; null when none is known. */
-    fun lastOf(part: String): Long? = byPart[part]
+    fun lastOf(suspect: String): Long? = bySuspect[suspect]
 
     private companion object {
-        const val MAX_PARTS = 4_096
+        const val MAX_SUSPECTS = 4_096
         const val INITIAL_CAPACITY = 64
         const val LOAD_FACTOR = 0.75f
     }
--- a/src/main/kotlin/org/persimmonrelay/quarantine/RequestQuarantine.kt
+++ b/src/main/kotlin/org/persimmonrelay/quarantine/RequestQuarantine.kt
@@ -40,10 +40,8 @@
         val record = all[suspect.id] ?: return
         val isRecent = nowMillis - (record.refusedAtMillis ?: 0) < REFUSAL_INTERVAL.inWholeMilliseconds
         if (!isRecent) {
-            observe(
-                listOf(SuspectRecord(record.id, record.position, refusedAtMillis = nowMillis)),
-                nowMillis,
-            )
+            val refusal = SuspectRecord(record.id, record.position, refusedAtMillis = nowMillis)
+            observe(listOf(refusal), nowMillis)
         }
     }
 
