Let two tests wait for what the node records after it has responded

It waits for the third now. CrashingRequestTest counts servers that end while the node still asks the last one for a connection; it now waits for what the node learns of each, with the bound as it was.

--- a/src/test/kotlin/org/persimmonrelay/forward/ContentHashTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/ContentHashTest.kt
@@ -16,6 +16,8 @@
             node.exchange(request("r2", more = arrayOf("Token-Count: 1,1")))
             node.exchange(request("r3", body = "other"))
 
+            // A request is recorded after its response was sent.
+            node.awaitEvents(ForwardEvent.REQUEST_ANSWERED, 3)
             val hashes = node.recorded(ForwardEvent.REQUEST_ANSWERED, "content")
             assertEquals(hashes[0], hashes[1])
             assertNotEquals(hashes[0], hashes[2])
--- a/src/test/kotlin/org/persimmonrelay/forward/CrashingRequestTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/CrashingRequestTest.kt
@@ -2,6 +2,7 @@
 
 import org.persimmonrelay.backend.EngineStage
 import org.persimmonrelay.forward.ForwardFixture.Companion.request
+import org.persimmonrelay.quarantine.QuarantineEvent
 import org.persimmonrelay.route.RouteKind
 import kotlin.test.Test
 import kotlin.test.assertFalse
@@ -28,6 +29,7 @@
         ForwardFixture(kind, engines, engines.map { EngineStage.DECODE }, timeout = 6.seconds).use { node ->
             repeat(engines.size) {
                 node.exchange(prompt("d$it", DEADLY))
+                node.awaitLosses(engines)
                 assertTrue(node.exchange(prompt("s$it", "sound $it")).contains("id: 2"), "sound request $it")
             }
 
@@ -39,7 +41,10 @@
     fun `requests that were broken when servers ended under another are still served`() {
         val servers = servers(::response)
         ForwardFixture(RouteKind.Idempotent, servers, timeout = 6.seconds).use { node ->
-            repeat(4) { node.exchange(request("d$it", body = DEADLY)) }
+            repeat(4) {
+                node.exchange(request("d$it", body = DEADLY))
+                node.awaitLosses(servers)
+            }
 
             val responses = (1..20).map { node.exchange(request("s$it", body = "sound")) }
             assertTrue(responses.all { it.startsWith("HTTP/1.1 200") }, responses.joinToString())
@@ -49,7 +54,9 @@
     private fun assertContained(kind: RouteKind) {
         val servers = servers(::response)
         ForwardFixture(kind, servers, timeout = 6.seconds).use { node ->
-            val responses = (1..servers.size).map { node.exchange(request("r$it", body = DEADLY)) }
+            val responses = (1..servers.size).map {
+                node.exchange(request("r$it", body = DEADLY)).also { node.awaitLosses(servers) }
+            }
 
             assertContained(servers)
             assertTrue(responses.last().startsWith("HTTP/1.1 503"), responses.last())
@@ -58,6 +65,10 @@
         }
     }
 
+    /** Waits until the node knows of all servers that have ended; it asks each for a new connection first. */
+    private fun ForwardFixture.awaitLosses(servers: List<ScriptedServer>) =
+        awaitEvents(QuarantineEvent.SERVER_LOST, servers.count { it.isClosed })
+
     private fun assertContained(servers: List<ScriptedServer>) {
         val ended = servers.count { it.isClosed }
         assertTrue(ended <= MAX_ENDED, "$ended servers ended")
