--- a/src/main/kotlin/org/persimmonrelay/backend/InFlightRequest.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/InFlightRequest.kt
@@ -4,9 +4,10 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** What is learned from the course of a request. */
+/** What is learned from the course of a request. [prefillSpeed] is null if its engine also decodes. */
 internal class LearnedEstimates(
     val firstToken: FirstTokenTimeModel,
+    val prefillSpeed: PrefillSpeed?,
     val serviceTime: ServiceTimeEstimate,
     val learnsFirstToken: Boolean,
     val foundFreeSlot: Boolean,
@@ -39,7 +40,9 @@
         val excess = elapsed - (chosen.expected - chosen.learnedDelay)
         if (estimates.learnsFirstToken) {
             load.recordDelay(excess, now)
-            estimates.firstToken.update(tokensAhead, elapsed - (chosen.fetch?.duration ?: Duration.ZERO))
+            val computing = elapsed - (chosen.fetch?.duration ?: Duration.ZERO)
+            estimates.firstToken.update(tokensAhead, computing)
+            estimates.prefillSpeed?.update(tokensAhead, computing)
         }
         // Transfers wait for each other at both ends, and which of the two it was can't be told.
         prefilledAt?.let {
--- a/src/main/kotlin/org/persimmonrelay/backend/ServerChooser.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/ServerChooser.kt
@@ -20,6 +20,7 @@
     private val sharing = CacheReportSharing(statistics)
     private val overload = HashMap<ServiceId, OverloadDetector>()
     private val requestSizes = HashMap<ServiceId, RequestSizes>()
+    private val demand = DemandMeter()
 
     /** Chooses among [servers], the servers of the request's service that may get new requests. */
     public fun choose(query: PlacementQuery, servers: List<BackendServer>, engine: EngineSpec?): Placement =
@@ -28,9 +29,22 @@
     /** Chooses among the preferred servers; among all when none of the preferred ones is good enough. */
     public fun choose(query: PlacementQuery, candidates: ServerCandidates, engine: EngineSpec?): Placement {
         statistics.expirePeerWork(query.now)
-        return admit(widen(candidates, query) { chooseAmong(it, query, engine) }, query)
+        val decision = widen(candidates, query) { chooseAmong(it, query, engine) }
+        val placement = admit(decision, query)
+        if (query.excluded.isEmpty()) recordDemand(decision, placement, query)
+        return placement
     }
 
+    private fun recordDemand(decision: Decision, placement: Placement, query: PlacementQuery) = demand.arrived(
+        query.request.service,
+        decision.prefillTokens ?: query.request.promptTokens,
+        decision.held,
+        isRefused = placement is Placement.Refused,
+    )
+
+    /** The work that callers have asked of each service since the start. */
+    public fun demand(): List<ServiceDemand> = demand.totals()
+
     /** The decision of [choose] among the preferred servers, or among all when that is not good enough. */
     private fun widen(
         candidates: ServerCandidates,
@@ -62,8 +76,17 @@
         return (wait * (MIN_RETRY_FACTOR + spread)).coerceIn(RETRY_RANGE)
     }
 
-    /** A placement whose first token is expected after [expected], of which [wait] is due to other requests. */
-    private class Decision(val placement: Placement, val expected: Duration, val wait: Duration)
+    /**
+     * A placement whose first token is expected after [expected], of which [wait] is due to other requests. The request
+     * has [prefillTokens] to prefill, null if no server could be looked at, and occupies a slot for [held].
+     */
+    private data class Decision(
+        val placement: Placement,
+        val expected: Duration,
+        val wait: Duration,
+        val prefillTokens: Int? = null,
+        val held: Duration = Duration.ZERO,
+    )
 
     private fun refused(reason: RefusalReason, retryAfter: Duration) =
         Decision(Placement.Refused(reason, retryAfter), Duration.INFINITE, Duration.ZERO)
@@ -79,13 +102,15 @@
         val split = if (maySplit(query, prefillers)) split(prefillers, decoders, costs, query.request) else null
         val best = if (split != null && split.cost < full.cost) split.decision() else full.decision()
         if (best.expected <= query.maxStartDelay) return best
-        return refused(RefusalReason.TOO_LATE, (best.expected - query.maxStartDelay).coerceIn(RETRY_RANGE))
+        val retryAfter = (best.expected - query.maxStartDelay).coerceIn(RETRY_RANGE)
+        return best.copy(placement = Placement.Refused(RefusalReason.TOO_LATE, retryAfter))
     }
 
     private fun noServerReason(query: PlacementQuery) =
         if (query.unavailable.isEmpty()) RefusalReason.NO_SERVER else RefusalReason.LIMITED
 
-    private fun ServerOption.decision() = Decision(placement(), expected, wait)
+    private fun ServerOption.decision() =
+        Decision(placement(), expected, wait, prefillTokens, statistics.serviceTime(server))
 
     /** Chooses the decode server for a prompt whose prefill ran at [prefillServer]. */
     public fun chooseDecode(
@@ -123,6 +148,7 @@
         if (request.hasPrompt) load.cache.recordSent(request.prompt, now)
         val estimates = LearnedEstimates(
             firstToken = statistics.model(server),
+            prefillSpeed = demand.speed(server.service).takeIf { server.stage != EngineStage.DECODE },
             serviceTime = statistics.serviceTimeEstimate(server),
             learnsFirstToken = request.hasPrompt && chosen.prefillTokens > 0,
             foundFreeSlot = statistics.running(server) <= server.slots,
@@ -171,8 +197,19 @@
     /** Requests of all nodes at [server], as far as their reports are known. */
     public fun running(server: BackendServer): Int = statistics.running(server)
 
-    private class SplitOption(val placement: Placement.Split, val wait: Duration, val cost: Duration) {
-        fun decision() = Decision(placement, placement.expected, wait)
+    private inner class SplitOption(
+        val placement: Placement.Split,
+        val wait: Duration,
+        val cost: Duration,
+        val decodeServer: BackendServer,
+    ) {
+        fun decision() = Decision(
+            placement,
+            placement.expected,
+            wait,
+            placement.prefill.prefillTokens,
+            statistics.serviceTime(decodeServer),
+        )
     }
 
     private fun maySplit(query: PlacementQuery, prefillers: List<BackendServer>) =
@@ -209,7 +246,7 @@
         val prefill = costs.best(prefillers, ServerWorkKind.PREFILL, affinity)
         val decode = costs.bestDecoder(decoders, prefill.server)
         val placement = Placement.Split(prefill.placement(), prefill.expected + decode.expected)
-        return SplitOption(placement, prefill.wait + decode.wait, prefill.cost + decode.cost)
+        return SplitOption(placement, prefill.wait + decode.wait, prefill.cost + decode.cost, decode.server)
     }
 
     private companion object {
--- a/src/main/kotlin/org/persimmonrelay/forward/ForwardEvent.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ForwardEvent.kt
@@ -14,5 +14,9 @@
     REQUEST_LINES_DROPPED(2707, "Too many requests ended within a second to log each; the metrics count all of them."),
     ENGINE_REPORTS_FOLLOWED(2709, "An engine reports its prompt cache; requests are placed by these reports."),
     ENGINE_REPORTS_LOST(2710, "An engine's cache reports fail; requests are placed by what this node has sent to it."),
+    SERVICE_DEMAND(
+        2711,
+        "The work that this node's callers asked of a service, in engines and slots that it keeps busy.",
+    ),
     HANDLE_NOT_FREED(2708, "An unused KV cache could not be freed; it expires on the server."),
 }
--- a/src/main/kotlin/org/persimmonrelay/forward/ForwardServer.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ForwardServer.kt
@@ -45,6 +45,7 @@
             dependencies.clock,
             dependencies.events,
         )
+    private val demandLog = DemandLog(dependencies.events)
     private val log = RequestLog(dependencies.events, ForwardMetrics(dependencies.registry))
     private val errorResponses = ForwardErrorResponses(dependencies.headerCodec, log::unreadable)
     private val callers = server(dependencies.settings.callers, forwarder())
@@ -68,13 +69,17 @@
         return callers.start()
     }
 
-    /** Applies the current list of servers: drops state of removed servers and polls the engines among the others. */
+    /**
+     * Applies the current list of servers: drops state of removed servers and polls the engines among the others. Logs
+     * the demand on them from time to time.
+     */
     public fun updateServers() {
         val view = dependencies.directory.view
         chooser.retain(view)
         pools.retain(view)
         requestLimits.retain(view)
         reportPoller.setEngines(polledEngines(view))
+        demandLog.observe(chooser.demand(), dependencies.clock.now())
     }
 
     private fun polledEngines(view: BackendView): List<PolledEngine> =
--- a/src/main/kotlin/org/persimmonrelay/route/Route.kt
+++ b/src/main/kotlin/org/persimmonrelay/route/Route.kt
@@ -4,10 +4,12 @@
  */
 package org.persimmonrelay.route
 
+import kotlinx.serialization.Serializable
 import org.persimmonrelay.identity.WorkspaceId
 import kotlin.time.Duration
 
 /** Name of a service, a group of backend servers that serve the same requests. */
+@Serializable
 @JvmInline
 public value class ServiceId(public val value: String) {
     override fun toString(): String = value
