Do not take an error that names no request for the answer to this one

Other operators reported faulty servers that wrote an earlier refusal once more on a kept connection: callers were told 'not run' for requests that a server ran, or the request ran at a second server. It could happen here: an error without a request id counted as the response to the request that was waiting, and with Not-Executed it was retried elsewhere.

An error without a request id now ends the attempt as failed: the request may have run, so the caller gets no promise, and only what may be repeated is retried. A repeated refusal that names its request is skipped, as before.

--- a/src/main/kotlin/org/persimmonrelay/forward/ServerAttempt.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ServerAttempt.kt
@@ -111,6 +111,8 @@
         if (head is ResponsePart.Broken) return serverMayHaveEnded(inFlight, "connection failed: ${head.reason}")
         head as ResponsePart.Head
         val fields = dependencies.headerCodec.parseResponse(head.headers)
+        // It may belong to an earlier request, so it tells nothing about this one.
+        if (fields.requestId == null) return failed(inFlight, "no request id with ${head.status}")
         recordLimit(fields, sentAt)
         val reader = ResponseReader(connection, head, dependencies.clock)
         if (fields.notExecuted || head.status == MISDIRECTED) {
@@ -146,7 +148,7 @@
 
     /**
      * Receives the head of the response to this request. Late responses to earlier requests on the connection are
-     * skipped. A response without a request id counts only if its status is 400 or higher.
+     * skipped, and so are successes without a request id. An error without one ends the wait.
      */
     private suspend fun receiveHead(connection: HttpConnection): ResponsePart {
         while (true) {
