Let no error of a server into a stream that has begun

Other operators reported errors' texts and heads in the middle of callers' streams, and streams that ended as if they were complete, after a stream had broken off and the next server had answered with an error. It could happen here in three ways: a 200 that is no event stream was read as one when a stream was resumed, and if it was empty it ended the caller's stream as complete; text before an empty line passed as an event, since events without an id counted as new; and a head that a server wrote into an unframed stream passed the same way.

A stream is resumed only from a response of the type text/event-stream, and an event without an id after events with ids ends the attempt as failed.

--- a/src/main/kotlin/org/persimmonrelay/forward/ResponseDelivery.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ResponseDelivery.kt
@@ -1,5 +1,6 @@
 package org.persimmonrelay.forward
 
+import io.netty.handler.codec.http.HttpHeaderNames
 import org.persimmonrelay.backend.InFlightRequest
 import org.persimmonrelay.clock.Moment
 import org.persimmonrelay.http.CallerFraming
@@ -29,12 +30,16 @@
         val status = reader.head.status
         val kind = request.route.kind
         return when {
+            progress.forwardedEvents > 0 && !isEventStream(reader.head) ->
+                failed("status $status and no events when a stream was resumed")
             status in SUCCESSES && kind is RouteKind.Streaming -> stream(reader, kind)
-            progress.forwardedEvents > 0 -> failed("status $status when a stream was resumed")
             else -> deliverBuffered(reader)
         }
     }
 
+    private fun isEventStream(head: ResponsePart.Head) = head.status in SUCCESSES &&
+        head.headers.get(HttpHeaderNames.CONTENT_TYPE).orEmpty().startsWith(EVENT_STREAM, ignoreCase = true)
+
     private suspend fun deliverBuffered(reader: ResponseReader): AttemptOutcome {
         onResponseStarted()
         inFlight.firstResponse(dependencies.clock.now() - sentAt, dependencies.clock.now())
@@ -82,7 +87,10 @@
             if (part !is ResponsePart.Data) return streamEnded(part, reader, splitter)
             val events = splitter.feed(part.bytes)
             if (splitter.isOversized) return failed("event over ${dependencies.settings.maxEventBytes} bytes")
-            events.forEach { forward(it, reader.head) }
+            for (event in events) {
+                if (progress.isForeign(event)) return failed("event without an id inside a stream")
+                forward(event, reader.head)
+            }
             // Bytes alone are no progress: a stalled server may send some now and then.
             if (events.isNotEmpty()) eventDue = nextEventDue(kind)
         }
@@ -153,6 +161,7 @@
     private companion object {
         val SUCCESSES = 200..299
         const val FIRST_SERVER_ERROR = 500
+        const val EVENT_STREAM = "text/event-stream"
 
         /**
          * Statuses by which callers understand that their request has not run. Without the server's explicit header
--- a/src/main/kotlin/org/persimmonrelay/forward/StreamProgress.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/StreamProgress.kt
@@ -10,6 +10,12 @@
     var forwardedEvents = 0
         private set
 
+    /**
+     * True if [event] can't be part of the stream: the events before it have ids, and it has none. A server that fails
+     * may write an error into its stream.
+     */
+    fun isForeign(event: StreamEvent): Boolean = event.id == null && lastEventId != null
+
     /** True if the caller has not received [event] yet. Events without an id count as new. */
     fun isNext(event: StreamEvent): Boolean {
         val last = lastEventId ?: return true
