Let attempts wait as long as responses take at present

Cause: a request was given up at an engine after 1.6 times its latency target, or twice the expected time and 500 ms, whatever the load. In an overload the engines are slow but sound; what is given up loses its place in one queue for the last in another, its prefill is lost, its connection is closed, and three such ends in a row take the engine out of use.

Change: the timeout grows with the time by which responses of the service usually come late at present, twice the median of the last 5 s, attempts that were given up included. A few servers that do not respond don't move a median, so they are given up as soon as before.

Evidence: AttemptTimeoutsTest, pure; with the former rule (a factor of 0) 3 of its 5 tests fail: 960 ms where responses come 1,200 ms late.

--- a/src/main/kotlin/org/persimmonrelay/backend/InFlightRequest.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/InFlightRequest.kt
@@ -9,6 +9,7 @@
     val firstToken: FirstTokenTimeModel,
     val prefillSpeed: PrefillSpeed?,
     val serviceTime: ServiceTimeEstimate,
+    val lateness: ResponseLateness,
     val learnsFirstToken: Boolean,
     val foundFreeSlot: Boolean,
 )
@@ -38,6 +39,7 @@
         respondedAt = now
         removePendingTokens()
         val excess = elapsed - (chosen.expected - chosen.learnedDelay)
+        estimates.lateness.record(elapsed - chosen.expected, now)
         if (estimates.learnsFirstToken) {
             load.recordDelay(excess, now)
             val computing = elapsed - (chosen.fetch?.duration ?: Duration.ZERO)
@@ -63,6 +65,12 @@
         close()
     }
 
+    /** No first part came in time; the request is given up there. */
+    public fun timedOut(now: Moment) {
+        if (awaitsFirstResponse) estimates.lateness.record(now - sentAt - chosen.expected, now)
+        failed(now)
+    }
+
     /** The server failed the request. */
     public fun failed(now: Moment) {
         if (close()) load.failed(now)
--- a/src/main/kotlin/org/persimmonrelay/backend/ServerChooser.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/ServerChooser.kt
@@ -42,6 +42,9 @@
         isRefused = placement is Placement.Refused,
     )
 
+    /** How much later than expected the first parts of responses of [service] usually come at [now]. */
+    public fun usualLateness(service: ServiceId, now: Moment): Duration = statistics.lateness(service).usual(now)
+
     /** The work that callers have asked of each service since the start. */
     public fun demand(): List<ServiceDemand> = demand.totals()
 
@@ -150,6 +153,7 @@
             firstToken = statistics.model(server),
             prefillSpeed = demand.speed(server.service).takeIf { server.stage != EngineStage.DECODE },
             serviceTime = statistics.serviceTimeEstimate(server),
+            lateness = statistics.lateness(server.service),
             learnsFirstToken = request.hasPrompt && chosen.prefillTokens > 0,
             foundFreeSlot = statistics.running(server) <= server.slots,
         )
--- a/src/main/kotlin/org/persimmonrelay/backend/ServerStatistics.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/ServerStatistics.kt
@@ -11,6 +11,7 @@
     private val loads = HashMap<ServerInstance, ServerLoad>()
     private val peers = PeerWork()
     private val serviceTimes = HashMap<Pair<ServiceId, EngineStage?>, ServiceTimeEstimate>()
+    private val lateness = HashMap<ServiceId, ResponseLateness>()
     private val models = HashMap<Pair<ServiceId, EngineStage?>, FirstTokenTimeModel>()
 
     /** The load of [server] by this node's requests. */
@@ -30,6 +31,9 @@
     fun serviceTimeEstimate(server: BackendServer): ServiceTimeEstimate =
         serviceTimes.getOrPut(server.service to server.stage) { ServiceTimeEstimate() }
 
+    /** How late first parts of responses of servers of [service] come. */
+    fun lateness(service: ServiceId): ResponseLateness = lateness.getOrPut(service) { ResponseLateness() }
+
     /** Prompt tokens of all nodes' requests at [server] that have no first token yet. */
     fun tokensAhead(server: BackendServer): Int =
         (loads[server.instance]?.tokensAhead ?: 0) + peers.tokensAhead(server.instance)
--- a/src/main/kotlin/org/persimmonrelay/forward/RequestExecution.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/RequestExecution.kt
@@ -24,6 +24,7 @@
     private val clock = dependencies.clock
     private val ending = RequestEnding(dependencies, request, trace)
     private val limits = attemptDependencies.requestLimits
+    private val timeouts = AttemptTimeouts(attemptDependencies.settings)
     private val progress = StreamProgress(request.attributes.lastEventId)
     private val triedServers = HashSet<ServerInstance>()
     private var sends = 0
@@ -197,13 +198,9 @@
     private fun attemptTimeout(chosen: Placement.Chosen, task: ServerTask): Duration? {
         val hasMoreAttempts = request.route.isRetryable && runs + 1 < request.route.maxAttempts
         if (!hasMoreAttempts && task !is ServerTask.Prefill) return null
-        val settings = attemptDependencies.settings
-        val expectedLimit = maxOf(
-            settings.minAttemptTimeout,
-            request.route.latencyTarget * settings.latencyTargetFactor,
-            chosen.expected * 2 + settings.minAttemptTimeout,
-        )
-        return minOf(expectedLimit, (request.deadline - clock.now()) * settings.remainingTimeShare)
+        val now = clock.now()
+        val lateness = dependencies.chooser.usualLateness(request.profile.service, now)
+        return timeouts.timeout(chosen.expected, request.route.latencyTarget, lateness, request.deadline - now)
     }
 
     private fun onResponseStarted() {
--- a/src/main/kotlin/org/persimmonrelay/forward/ServerAttempt.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ServerAttempt.kt
@@ -107,7 +107,7 @@
         inFlight: InFlightRequest,
         sentAt: Moment,
     ): AttemptOutcome {
-        val head = within(timeout) { receiveHead(connection) } ?: return serverMayHaveEnded(inFlight, "silent")
+        val head = within(timeout) { receiveHead(connection) } ?: return silent(inFlight)
         if (head is ResponsePart.Broken) return serverMayHaveEnded(inFlight, "connection failed: ${head.reason}")
         head as ResponsePart.Head
         val fields = dependencies.headerCodec.parseResponse(head.headers)
@@ -165,6 +165,11 @@
         return AttemptOutcome.Failed(label)
     }
 
+    private fun silent(inFlight: InFlightRequest): AttemptOutcome {
+        inFlight.timedOut(dependencies.clock.now())
+        return AttemptOutcome.Failed("silent", serverMayHaveEnded = true)
+    }
+
     private fun serverMayHaveEnded(inFlight: InFlightRequest, label: String): AttemptOutcome {
         inFlight.failed(dependencies.clock.now())
         return AttemptOutcome.Failed(label, serverMayHaveEnded = true)
