Let the streams of GracefulShutdownTest last until all of them run

The shortest of them lasted 0.2 s, so on a busy machine the first end before the last begin, and the test waits for what can't come any more.

--- a/src/test/kotlin/org/persimmonrelay/entry/GracefulShutdownTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/entry/GracefulShutdownTest.kt
@@ -119,6 +119,6 @@
     private fun withLoad(test: suspend CoroutineScope.(EntryFixture) -> Unit) = EntryFixture(
         timeouts = EngineTimeouts(progress = 5.seconds),
         engines = 2,
-        engineSettings = { StandInEngineSettings(it, listOf("m"), outputTokensPerSecond = 100.0) },
+        engineSettings = { StandInEngineSettings(it, listOf("m"), outputTokensPerSecond = 20.0) },
     ).run(test)
 }
