Do not double a deployment's servers where spot ones are too dear

Before there is a load, a service has twice the servers that its deployment came with, since twice as many spot servers cost no more. Where spot servers are not ordered, for want of them or for their price, that doubled the ordinary ones. Found by reading; a new test of ServerTargetsTest failed with the former rule's factor. No site in force has such prices.

--- a/src/main/kotlin/org/persimmonrelay/scale/ScalePlanner.kt
+++ b/src/main/kotlin/org/persimmonrelay/scale/ScalePlanner.kt
@@ -24,14 +24,12 @@
  * Spot servers are cheaper than ordinary ones, but the platform may take them away on short notice. The failure domain
  * with the lowest price always has at least [minOrdinary] ordinary servers, the others none while they have
  * [fallbackShare] of their servers as spot servers. Where spot servers are not available, ordinary ones replace them up
- * to that share. Spot servers are ordered only if they cost at most [maxSpotPriceRatio] of an ordinary one. A declined
- * or unanswered order is repeated after [retryDeclinedAfter], an accepted one after [repeatAfter], in case it was lost,
+ * to that share. A declined or unanswered order is repeated after [retryDeclinedAfter], an accepted one after [repeatAfter], in case it was lost,
  * and [startSlack] after its servers should have started, if there are fewer.
  */
 public data class ScaleSettings(
     val minOrdinary: Int = 1,
     val fallbackShare: Double = 0.5,
-    val maxSpotPriceRatio: Double = 0.5,
     val retryDeclinedAfter: Duration = 2.seconds,
     val repeatAfter: Duration = 20.seconds,
     val startSlack: Duration = 3.seconds,
@@ -108,7 +106,7 @@
     private fun ordinary(service: ServiceId, domain: FailureDomain, plan: DomainPlan, scaling: Scaling): Int {
         val min = requiredOrdinary(domain, plan, scaling)
         val max = maxOf(min, scaling.max)
-        if (!isSpotWorthwhile(scaling)) return plan.target.coerceIn(min, max)
+        if (!scaling.isSpotWorthwhile) return plan.target.coerceIn(min, max)
         val wanted = fallback(plan) - plan.current.spot
         val mustReplace = isSpotDeclined(service, domain) && !plan.isReplaced
         val reachable = if (mustReplace) wanted else minOf(wanted, plan.current.ordinary)
@@ -126,12 +124,10 @@
     private fun fallback(plan: DomainPlan) = ceil(plan.target * settings.fallbackShare).toInt().coerceAtLeast(1)
 
     private fun spot(scaling: Scaling, plan: DomainPlan, ordinary: Int): Int {
-        if (!isSpotWorthwhile(scaling)) return 0
+        if (!scaling.isSpotWorthwhile) return 0
         return (minOf(scaling.max, plan.target) - ordinary).coerceAtLeast(0)
     }
 
-    private fun isSpotWorthwhile(scaling: Scaling) = (scaling.spotPrice ?: 1.0) <= settings.maxSpotPriceRatio
-
     private fun isSpotDeclined(service: ServiceId, domain: FailureDomain) =
         OrderKey(service, domain, isSpot = true) in declined
 
--- a/src/main/kotlin/org/persimmonrelay/scale/ServerTargets.kt
+++ b/src/main/kotlin/org/persimmonrelay/scale/ServerTargets.kt
@@ -15,16 +15,14 @@
  *
  * Servers are used up to [maxUse] of their capacity on average, so that a long prompt or the loss of a failure domain
  * delays few others. The number decreases only when the load of the last [keepFor] needs less than [shrinkBelow] of it,
- * and grows by at least [minGrowth] at a time, so that orders stay few. Before there was any load, a service has
- * [spareFactor] times the servers that its deployment came with; as spot servers these cost no more. Those are
- * counted [settleTime] after the first look, when each server has had time to announce itself.
+ * and grows by at least [minGrowth] at a time, so that orders stay few. The servers that a deployment came with are
+ * counted [settleTime] after the first look, when each has had time to announce itself.
  */
 public data class ServerTargetSettings(
     val maxUse: Double = 0.5,
     val keepFor: Duration = 30.seconds,
     val shrinkBelow: Double = 0.8,
     val minGrowth: Double = 0.1,
-    val spareFactor: Double = 2.0,
     val settleTime: Duration = 5.seconds,
 )
 
@@ -41,8 +39,9 @@
  * Decides how many servers a service needs in each failure domain. Requests are served in the region of their caller,
  * so a region's servers follow the load of its callers, and are spread evenly over its failure domains.
  *
- * [isFirst] is true if no node has ordered servers before. Otherwise the present servers, which others have ordered,
- * count as needed until the load is known. Not thread-safe.
+ * [isFirst] is true if no node has ordered servers before. Then a service has twice the servers that its deployment came
+ * with until there is a load, if spot servers are worthwhile, since these cost no more than what they replace. For a
+ * later holder the present servers, which others have ordered, count as needed until the load is known. Not thread-safe.
  */
 public class ServerTargets(
     private val regions: Map<FailureDomain, Region>,
@@ -61,9 +60,11 @@
 
         /** Spot servers that the deployment came with: those that are there before ordered ones can have started. */
         var ownSpot = 0
-        val needs = ArrayDeque<Pair<Moment, Int>>()
+        val needs = ArrayDeque<Need>()
     }
 
+    private class Need(val servers: Int, val at: Moment)
+
     /** The servers that [service] needs at [now]; null if they can't be ordered. */
     public fun update(
         service: Service,
@@ -90,7 +91,7 @@
     private fun initial(counts: List<DomainServerCounts>, ownSpot: Int, scaling: Scaling): Int {
         if (!isFirst) return counts.sumOf { it.total }
         val own = counts.sumOf { it.ordinary } + ownSpot
-        return ceil(own * if (scaling.spotPrice != null) settings.spareFactor else 1.0).toInt()
+        return if (scaling.isSpotWorthwhile) own * SPARE_FACTOR else own
     }
 
     private fun need(service: Service, fleet: ServiceFleet, loads: Collection<ServiceLoad>): Int {
@@ -104,9 +105,9 @@
     }
 
     private fun adjust(target: RegionTarget, need: Int, mayShrink: Boolean, now: Moment) {
-        target.needs.addLast(now to need)
-        while (now - target.needs.first().first > settings.keepFor) target.needs.removeFirst()
-        val highest = target.needs.maxOf { it.second }
+        target.needs.addLast(Need(need, now))
+        while (now - target.needs.first().at > settings.keepFor) target.needs.removeFirst()
+        val highest = target.needs.maxOf { it.servers }
         val grown = ceil(target.servers * (1 + settings.minGrowth)).toInt()
         if (highest > target.servers) target.servers = maxOf(highest, grown)
         if (mayShrink && highest < target.servers * settings.shrinkBelow) target.servers = highest
@@ -122,6 +123,9 @@
     }
 
     private companion object {
+        /** Spot servers for the price of one ordinary server, at the highest price at which they are ordered. */
+        const val SPARE_FACTOR = (1 / MAX_SPOT_PRICE_RATIO).toInt()
+
         /** A stage with a smaller share can't be followed by the number of servers; its share has to grow. */
         const val MIN_STAGE_SHARE = 0.2
     }
--- a/src/test/kotlin/org/persimmonrelay/scale/ServerTargetsTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/scale/ServerTargetsTest.kt
@@ -41,6 +41,17 @@
         assertEquals(domains.associateWith { 10 }, first.plan(fleet(ordinary = 0, spot = 10), 6.seconds)?.servers)
     }
 
+    // Guards against paying twice for a deployment whose spot servers are too dear to be ordered.
+    @Test
+    fun `without cheap spot servers a deployment keeps the servers that it came with`() {
+        for (price in listOf(null, 0.6)) {
+            val service = service.copy(scaling = scaling.copy(spotPrice = price))
+            val plan = ServerTargets(regions, isFirst = true).update(service, own, emptyMap(), Moment.ZERO)
+
+            assertEquals(domains.associateWith { 4 }, plan?.servers)
+        }
+    }
+
     @Test
     fun `a later holder of the duty keeps what others have ordered until it knows the load`() {
         assertEquals(domains.associateWith { 4 }, later.targets(Duration.ZERO))
