--- a/src/main/kotlin/org/persimmonrelay/backend/DemandMeter.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/DemandMeter.kt
@@ -12,7 +12,7 @@
     /** The speed at which engines of [service] prefill. */
     fun speed(service: ServiceId): PrefillSpeed = speeds.getOrPut(service) { PrefillSpeed() }
 
-    /** A request for [service] arrived: [prefillTokens] of its prompt are cached nowhere near, and it runs for [held]. */
+    /** A request for [service] arrived with [prefillTokens] cached nowhere near; it holds a slot for [held]. */
     fun arrived(service: ServiceId, prefillTokens: Int, held: Duration, isRefused: Boolean) {
         val before = totals[service] ?: ServiceDemand(service)
         totals[service] = before.copy(
--- a/src/main/kotlin/org/persimmonrelay/node/ScaleDuty.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/ScaleDuty.kt
@@ -18,7 +18,6 @@
 import org.persimmonrelay.scale.ScaleEvent
 import org.persimmonrelay.scale.ScaleOrder
 import org.persimmonrelay.scale.ScaleOrders
-import org.persimmonrelay.scale.ServerPlan
 import org.persimmonrelay.scale.ServiceFleet
 import org.persimmonrelay.scale.ServiceLoad
 import org.persimmonrelay.timeline.EventSink
@@ -70,15 +69,15 @@
         val now = clock.now()
         val fleet = fleet(service)
         val load = current.loads.load(service.id, now)
-        val wanted = current.targets.update(service, fleet, load, now) ?: return
-        if (current.changes(service.id, wanted)) recordTargets(service, fleet, wanted, load, current)
-        current.planner.plan(service, fleet.counts, wanted, now).forEach { send(it, current) }
+        val targets = current.targets.update(service, fleet, load, now) ?: return
+        if (current.changes(service.id, targets)) recordTargets(service, fleet, targets, load, current)
+        current.planner.plan(service, fleet.counts, targets, now).forEach { send(it, current) }
     }
 
     private fun recordTargets(
         service: Service,
         fleet: ServiceFleet,
-        wanted: ServerPlan,
+        targets: Map<FailureDomain, Int>,
         load: Map<FailureDomain, ServiceLoad>,
         current: ScaleTenure,
     ) {
@@ -86,8 +85,7 @@
         events.record(
             ScaleEvent.TARGETS_CHANGED,
             "service" with service.id,
-            "servers" with wanted.servers.entries.joinToString(",") { "${it.key}:${it.value}" },
-            "mayRelease" with wanted.mayRelease,
+            "servers" with targets.entries.joinToString(",") { "${it.key}:${it.value}" },
             "present" with fleet.counts.values.sumOf { it.total },
             "busyEngines" with "%.2f".format(Locale.ROOT, total.busyEngines),
             "usedSlots" with "%.1f".format(Locale.ROOT, total.usedSlots),
--- a/src/main/kotlin/org/persimmonrelay/node/ScaleTenure.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/ScaleTenure.kt
@@ -6,7 +6,6 @@
 import org.persimmonrelay.route.ServiceId
 import org.persimmonrelay.scale.LoadHistory
 import org.persimmonrelay.scale.ScalePlanner
-import org.persimmonrelay.scale.ServerPlan
 import org.persimmonrelay.scale.ServerTargets
 import kotlin.time.Duration.Companion.seconds
 
@@ -18,7 +17,7 @@
     val planner = ScalePlanner(regions)
     val targets = ServerTargets(regions, isFirst)
     val loads = LoadHistory()
-    private val lastPlans = HashMap<ServiceId, ServerPlan>()
+    private val lastTargets = HashMap<ServiceId, Map<FailureDomain, Int>>()
     private var askedAt: Moment? = null
 
     /** True if the nodes are to be asked for the demand at [now]. */
@@ -28,8 +27,9 @@
         return isDue
     }
 
-    /** True if [wanted] of [service] differs from that of the last call. */
-    fun changes(service: ServiceId, wanted: ServerPlan): Boolean = lastPlans.put(service, wanted) != wanted
+    /** True if [targets] of [service] differ from those of the last call. */
+    fun changes(service: ServiceId, targets: Map<FailureDomain, Int>): Boolean =
+        lastTargets.put(service, targets) != targets
 
     private companion object {
         val ASK_INTERVAL = 1.seconds
--- a/src/main/kotlin/org/persimmonrelay/scale/LoadHistory.kt
+++ b/src/main/kotlin/org/persimmonrelay/scale/LoadHistory.kt
@@ -41,7 +41,7 @@
         while (heard.size > 2 && heard.last().demand.uptime - heard[1].demand.uptime >= WINDOW) heard.removeFirst()
     }
 
-    /** The load on [service] by the failure domain of the nodes that its callers use, of nodes heard lately at [now]. */
+    /** The load on [service] at [now], by the failure domain of the nodes that its callers use. */
     public fun load(service: ServiceId, now: Moment): Map<FailureDomain, ServiceLoad> {
         nodes.values.removeIf { now - it.last().at > SILENCE }
         return nodes.values.groupBy({ it.last().demand.domain }) { load(service, it) }
--- a/src/main/kotlin/org/persimmonrelay/scale/ScalePlanner.kt
+++ b/src/main/kotlin/org/persimmonrelay/scale/ScalePlanner.kt
@@ -24,8 +24,8 @@
  * Spot servers are cheaper than ordinary ones, but the platform may take them away on short notice. The failure domain
  * with the lowest price always has at least [minOrdinary] ordinary servers, the others none while they have
  * [fallbackShare] of their servers as spot servers. Where spot servers are not available, ordinary ones replace them up
- * to that share. A declined or unanswered order is repeated after [retryDeclinedAfter], an accepted one after [repeatAfter], in case it was lost,
- * and [startSlack] after its servers should have started, if there are fewer.
+ * to that share. A declined or unanswered order is repeated after [retryDeclinedAfter], an accepted one after
+ * [repeatAfter], in case it was lost, and [startSlack] after its servers should have started, if there are fewer.
  */
 public data class ScaleSettings(
     val minOrdinary: Int = 1,
@@ -57,23 +57,22 @@
     private class DomainPlan(val current: DomainServerCounts, val target: Int, val isReplaced: Boolean)
 
     /**
-     * The orders that are due at [now] for the servers that [wanted] asks for. [counts] has every domain in which
-     * [service] may have servers.
+     * The orders that are due at [now] for [targets], the servers wanted in each failure domain. [counts] has every
+     * domain in which [service] may have servers.
      */
     public fun plan(
         service: Service,
         counts: Map<FailureDomain, DomainServerCounts>,
-        wanted: ServerPlan,
+        targets: Map<FailureDomain, Int>,
         now: Moment,
     ): List<ScaleOrder> {
         val scaling = service.scaling ?: return emptyList()
         val domains = scaling.prices.keys.filter { it in counts }.ifEmpty { counts.keys }
         return domains.flatMap { domain ->
-            val plan = domainPlan(service, domain, counts, wanted.servers)
+            val plan = domainPlan(service, domain, counts, targets)
             val ordinary = ordinary(service.id, domain, plan, scaling)
             val spot = spot(scaling, plan, maxOf(ordinary, plan.current.ordinary))
             listOf(ScaleOrder(service.id, domain, false, ordinary), ScaleOrder(service.id, domain, true, spot))
-                .filter { it.isSpot || wanted.mayRelease }
                 .filter { isDue(it, plan.current, scaling, now) }
         }
     }
--- a/src/main/kotlin/org/persimmonrelay/scale/ServerTargets.kt
+++ b/src/main/kotlin/org/persimmonrelay/scale/ServerTargets.kt
@@ -29,19 +29,14 @@
 /** The servers of a service that get work, by failure domain, and the share of its engines that prefill. */
 public data class ServiceFleet(val counts: Map<FailureDomain, DomainServerCounts>, val prefillShare: Double = 1.0)
 
-/**
- * The [servers] that a service is to have in each failure domain. Unless [mayRelease], servers of its deployment may not
- * have announced themselves yet, so none are released.
- */
-public data class ServerPlan(val servers: Map<FailureDomain, Int>, val mayRelease: Boolean)
-
 /**
  * Decides how many servers a service needs in each failure domain. Requests are served in the region of their caller,
  * so a region's servers follow the load of its callers, and are spread evenly over its failure domains.
  *
- * [isFirst] is true if no node has ordered servers before. Then a service has twice the servers that its deployment came
- * with until there is a load, if spot servers are worthwhile, since these cost no more than what they replace. For a
- * later holder the present servers, which others have ordered, count as needed until the load is known. Not thread-safe.
+ * [isFirst] is true if no node has ordered servers before. Then a service has twice the servers that its deployment
+ * came with until there is a load, if spot servers are worthwhile, since these cost no more than what they replace. For
+ * a later holder the present servers, which others have ordered, count as needed until the load is known. Not
+ * thread-safe.
  */
 public class ServerTargets(
     private val regions: Map<FailureDomain, Region>,
@@ -55,43 +50,37 @@
         val regions = HashMap<Region?, RegionTarget>()
     }
 
-    private class RegionTarget {
-        var servers = 0
-
-        /** Spot servers that the deployment came with: those that are there before ordered ones can have started. */
-        var ownSpot = 0
+    private class RegionTarget(var servers: Int) {
         val needs = ArrayDeque<Need>()
     }
 
     private class Need(val servers: Int, val at: Moment)
 
-    /** The servers that [service] needs at [now]; null if they can't be ordered. */
+    /**
+     * The number of servers that [service] is to have in each failure domain at [now]; null if they can't be ordered,
+     * or while servers of its deployment may not have announced themselves yet.
+     */
     public fun update(
         service: Service,
         fleet: ServiceFleet,
         load: Map<FailureDomain, ServiceLoad>,
         now: Moment,
-    ): ServerPlan? {
+    ): Map<FailureDomain, Int>? {
         val scaling = service.scaling ?: return null
         val state = states.getOrPut(service.id) { TargetState(now) }
-        val isSettled = !isFirst || now - state.since >= settings.settleTime
+        if (isFirst && now - state.since < settings.settleTime) return null
         if (state.loadSince == null && load.values.any { it.isPresent }) state.loadSince = now
-        val servers = fleet.counts.keys.groupBy { regions[it] }.flatMap { (region, domains) ->
-            val target = state.regions.getOrPut(region) { RegionTarget() }
-            val counts = domains.mapNotNull { fleet.counts[it] }
-            if (now - state.since < scaling.startup) target.ownSpot = counts.sumOf { it.spot }
-            if (!isSettled || target.needs.isEmpty()) target.servers = initial(counts, target.ownSpot, scaling)
+        return fleet.counts.keys.groupBy { regions[it] }.flatMap { (region, domains) ->
+            val target = state.regions.getOrPut(region) { RegionTarget(initial(domains, fleet, scaling)) }
             val need = need(service, fleet, load.filterKeys { regions[it] == region }.values)
             adjust(target, need, mayShrink = state.loadSince?.let { now - it >= settings.keepFor } ?: false, now)
             spread(target.servers, domains, scaling)
-        }
-        return ServerPlan(servers.toMap(), mayRelease = isSettled)
+        }.toMap()
     }
 
-    private fun initial(counts: List<DomainServerCounts>, ownSpot: Int, scaling: Scaling): Int {
-        if (!isFirst) return counts.sumOf { it.total }
-        val own = counts.sumOf { it.ordinary } + ownSpot
-        return if (scaling.isSpotWorthwhile) own * SPARE_FACTOR else own
+    private fun initial(domains: List<FailureDomain>, fleet: ServiceFleet, scaling: Scaling): Int {
+        val present = domains.sumOf { fleet.counts[it]?.total ?: 0 }
+        return if (isFirst && scaling.isSpotWorthwhile) present * SPARE_FACTOR else present
     }
 
     private fun need(service: Service, fleet: ServiceFleet, loads: Collection<ServiceLoad>): Int {
--- a/src/test/kotlin/org/persimmonrelay/forward/RepeatedRefusalTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/RepeatedRefusalTest.kt
@@ -7,7 +7,7 @@
 import kotlin.test.assertFalse
 import kotlin.time.Duration.Companion.milliseconds
 
-/** A faulty server writes an earlier refusal once more on a kept connection, before its response to the next request. */
+/** A faulty server writes an earlier refusal once more on a kept connection, before its response to the next one. */
 class RepeatedRefusalTest {
     // Guards against telling a caller "not run" of a request that runs, and against running it at a second server.
     @Test
--- a/src/test/kotlin/org/persimmonrelay/scale/ScalePlannerTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/scale/ScalePlannerTest.kt
@@ -16,7 +16,7 @@
     private val expensive = FailureDomain("inland-a")
     private val regions = mapOf(domain to Region("puget"), expensive to Region("inland"))
     private val planner = ScalePlanner(regions)
-    private val targets = ServerPlan(mapOf(domain to 6, expensive to 6), mayRelease = true)
+    private val targets = mapOf(domain to 6, expensive to 6)
     private val service = service(spotPrice = 0.18)
 
     @Test
@@ -95,23 +95,12 @@
         val counts = mapOf(domain to DomainServerCounts(1, 0), sibling to DomainServerCounts(0, 6))
         planner.recordAnswer(ScaleOrder(service.id, domain, isSpot = true, 6), ScaleAnswer.NONE_AVAILABLE, Moment.ZERO)
 
-        val orders = planner.plan(service, counts, ServerPlan(mapOf(domain to 6, sibling to 6), true), Moment.ZERO)
+        val orders = planner.plan(service, counts, mapOf(domain to 6, sibling to 6), Moment.ZERO)
 
         assertEquals(1, orders.single { it.domain == domain && !it.isSpot }.servers)
         assertEquals(11, orders.single { it.domain == sibling && it.isSpot }.servers)
     }
 
-    // Guards against releasing servers of a deployment that have not announced themselves yet.
-    @Test
-    fun `while servers may not be released only spot ones are ordered`() {
-        val counts = mapOf(domain to DomainServerCounts(ordinary = 1, spot = 0))
-
-        val orders = planner.plan(service, counts, targets.copy(mayRelease = false), Moment.ZERO)
-
-        assertEquals(listOf(5), orders.map { it.servers })
-        assertTrue(orders.all { it.isSpot })
-    }
-
     @Test
     fun `servers that did not start are ordered again`() {
         val counts = mapOf(domain to DomainServerCounts(1, 5))
--- a/src/test/kotlin/org/persimmonrelay/scale/ServerTargetsTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/scale/ServerTargetsTest.kt
@@ -9,6 +9,7 @@
 import org.persimmonrelay.route.ServiceId
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -27,18 +28,12 @@
     private val first = ServerTargets(regions, isFirst = true)
     private val later = ServerTargets(regions, isFirst = false)
 
-    // Guards against orders for a deployment whose servers have not all announced themselves yet.
+    // Guards against orders for a deployment whose servers have not all announced themselves yet, spot ones included.
     @Test
-    fun `no server may be released before each had time to announce itself`() {
-        assertEquals(listOf(false, false, true), listOf(0, 4, 5).map { first.plan(own, it.seconds)?.mayRelease })
-    }
-
-    @Test
-    fun `a deployment has twice the servers that it came with, not twice the spot ones ordered since`() {
-        assertEquals(domains.associateWith { 4 }, first.plan(fleet(ordinary = 1, spot = 1), 0.seconds)?.servers)
-        assertEquals(domains.associateWith { 10 }, first.plan(fleet(ordinary = 4, spot = 1), 3.seconds)?.servers)
-        assertEquals(domains.associateWith { 10 }, first.plan(fleet(ordinary = 4, spot = 5), 4.seconds)?.servers)
-        assertEquals(domains.associateWith { 10 }, first.plan(fleet(ordinary = 0, spot = 10), 6.seconds)?.servers)
+    fun `nothing is ordered before each server had time to announce itself`() {
+        assertNull(first.targets(Duration.ZERO))
+        assertNull(first.targets(4.seconds))
+        assertEquals(domains.associateWith { 8 }, first.targets(5.seconds))
     }
 
     // Guards against paying twice for a deployment whose spot servers are too dear to be ordered.
@@ -46,9 +41,11 @@
     fun `without cheap spot servers a deployment keeps the servers that it came with`() {
         for (price in listOf(null, 0.6)) {
             val service = service.copy(scaling = scaling.copy(spotPrice = price))
-            val plan = ServerTargets(regions, isFirst = true).update(service, own, emptyMap(), Moment.ZERO)
+            val targets = ServerTargets(regions, isFirst = true)
+            targets.update(service, own, emptyMap(), Moment.ZERO)
 
-            assertEquals(domains.associateWith { 4 }, plan?.servers)
+            val settled = targets.update(service, own, emptyMap(), Moment.ZERO + 5.seconds)
+            assertEquals(domains.associateWith { 4 }, settled)
         }
     }
 
@@ -103,12 +100,6 @@
         assertTrue(targets.orEmpty().values.all { it >= 1 })
     }
 
-    private fun fleet(ordinary: Int, spot: Int) =
-        own.copy(counts = own.counts.mapValues { DomainServerCounts(ordinary, spot) })
-
     private fun ServerTargets.targets(at: Duration, vararg load: Pair<String, ServiceLoad>) =
-        plan(own, at, *load)?.servers
-
-    private fun ServerTargets.plan(fleet: ServiceFleet, at: Duration, vararg load: Pair<String, ServiceLoad>) =
-        update(service, fleet, load.associate { FailureDomain(it.first) to it.second }, Moment.ZERO + at)
+        update(service, own, load.associate { FailureDomain(it.first) to it.second }, Moment.ZERO + at)
 }
