--- a/src/main/kotlin/org/persimmonrelay/forward/ServerAttempt.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ServerAttempt.kt
@@ -111,21 +111,27 @@
         if (head is ResponsePart.Broken) return serverMayHaveEnded(inFlight, "connection failed: ${head.reason}")
         head as ResponsePart.Head
         val fields = dependencies.headerCodec.parseResponse(head.headers)
-        // It may belong to an earlier request, so it tells nothing about this one.
-        if (fields.requestId == null) return failed(inFlight, "no request id with ${head.status}")
-        recordLimit(fields, sentAt)
+        if (fields.requestId != null) recordLimit(fields, sentAt)
         val reader = ResponseReader(connection, head, dependencies.clock)
-        if (fields.notExecuted || head.status == MISDIRECTED) {
-            inFlight.rejected(dependencies.clock.now())
-            reader.readBody(dependencies.settings.maxBufferedBytes, DRAIN_TIMEOUT)
-            return AttemptOutcome.NotRun("turned-away-${head.status}", reachedServer = true)
+        return when {
+            // It may belong to an earlier request, so it tells nothing about this one.
+            fields.requestId == null -> failed(inFlight, "no request id with ${head.status}")
+            fields.notExecuted || head.status == MISDIRECTED -> rejected(reader, inFlight)
+            task is ServerTask.Prefill -> finishPrefill(reader, inFlight, sentAt)
+            !fields.hasServerProof -> failed(inFlight, "no proof with ${head.status}")
+            else -> delivery(inFlight, sentAt).deliver(reader)
         }
-        if (task is ServerTask.Prefill) return finishPrefill(reader, inFlight, sentAt)
-        if (!fields.hasServerProof) return failed(inFlight, "no proof with ${head.status}")
-        val delivery = ResponseDelivery(dependencies, request, progress, inFlight, sentAt, timeout, onResponseStarted)
-        return delivery.deliver(reader)
     }
 
+    private suspend fun rejected(reader: ResponseReader, inFlight: InFlightRequest): AttemptOutcome {
+        inFlight.rejected(dependencies.clock.now())
+        reader.readBody(dependencies.settings.maxBufferedBytes, DRAIN_TIMEOUT)
+        return AttemptOutcome.NotRun("turned-away-${reader.head.status}", reachedServer = true)
+    }
+
+    private fun delivery(inFlight: InFlightRequest, sentAt: Moment) =
+        ResponseDelivery(dependencies, request, progress, inFlight, sentAt, timeout, onResponseStarted)
+
     private fun recordLimit(fields: ServerResponseFields, sentAt: Moment) {
         val now = dependencies.clock.wallMillis()
         val sentAtMillis = now - (dependencies.clock.now() - sentAt).inWholeMilliseconds
--- a/src/main/kotlin/org/persimmonrelay/node/RelayDuties.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/RelayDuties.kt
@@ -5,10 +5,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import org.persimmonrelay.backend.BackendDirectory
 import org.persimmonrelay.clock.Clock
-import org.persimmonrelay.identity.FailureDomain
-import org.persimmonrelay.identity.Region
 import org.persimmonrelay.lease.HolderId
 import org.persimmonrelay.lease.LeaseManager
 import org.persimmonrelay.lease.PredecessorEvidence
@@ -20,7 +17,6 @@
 import org.persimmonrelay.platform.TableClientSettings
 import org.persimmonrelay.quarantine.LedgerExchange
 import org.persimmonrelay.quarantine.RequestQuarantine
-import org.persimmonrelay.route.ActiveRouteTable
 import org.persimmonrelay.settings.RelayBounds
 import org.persimmonrelay.timeline.EventSink
 import org.persimmonrelay.timeline.launchSupervised
@@ -44,13 +40,10 @@
     identity: NodeIdentity,
     clock: Clock,
     private val events: EventSink,
-    tables: ActiveRouteTable,
-    directory: BackendDirectory,
     health: StoreHealth,
     quarantine: RequestQuarantine,
     traffic: CoroutineDispatcher,
-    regions: Map<FailureDomain, Region>,
-    demand: DemandSource,
+    scaleInputs: ScaleInputs,
 ) {
     private val table =
         ReliableTable(
@@ -124,7 +117,7 @@
     }
 
     private val scale = dependencies.scale?.let {
-        ScaleDuty(it, leases, tables, directory, self.node, regions, demand, clock, events)
+        ScaleDuty(it, leases, scaleInputs, self.node, clock, events)
     }
 
     val usageMeter: UsageMeter get() = usageRecorder
--- a/src/main/kotlin/org/persimmonrelay/node/RelayNode.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/RelayNode.kt
@@ -73,13 +73,10 @@
             identity,
             clock,
             events,
-            tables,
-            directory,
             health,
             quarantine,
             traffic.dispatcher,
-            settings.regions,
-            demandSource(),
+            ScaleInputs(tables, directory, settings.regions, demandSource()),
         )
     private val limitSharers = LimitSharers(settings.node, location)
     private val pollerAssignment = ReportPollerAssignment(settings.node, location)
--- a/src/main/kotlin/org/persimmonrelay/node/ScaleDuty.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/ScaleDuty.kt
@@ -2,17 +2,14 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import org.persimmonrelay.backend.BackendDirectory
 import org.persimmonrelay.backend.BackendServer
 import org.persimmonrelay.backend.EngineStage
 import org.persimmonrelay.clock.Clock
 import org.persimmonrelay.identity.FailureDomain
 import org.persimmonrelay.identity.NodeId
-import org.persimmonrelay.identity.Region
 import org.persimmonrelay.lease.Duty
 import org.persimmonrelay.lease.HeldLease
 import org.persimmonrelay.lease.LeaseManager
-import org.persimmonrelay.route.ActiveRouteTable
 import org.persimmonrelay.route.Service
 import org.persimmonrelay.scale.DomainServerCounts
 import org.persimmonrelay.scale.ScaleEvent
@@ -30,11 +27,8 @@
 internal class ScaleDuty(
     private val orders: ScaleOrders,
     private val leases: LeaseManager,
-    private val tables: ActiveRouteTable,
-    private val directory: BackendDirectory,
+    private val inputs: ScaleInputs,
     private val node: NodeId,
-    private val regions: Map<FailureDomain, Region>,
-    private val demand: DemandSource,
     private val clock: Clock,
     private val events: EventSink,
 ) {
@@ -54,16 +48,16 @@
     }
 
     private suspend fun runOnce(heldLease: HeldLease) {
-        val table = tables.current ?: return
-        if (!directory.isLoaded) return
+        val table = inputs.tables.current ?: return
+        if (!inputs.directory.isLoaded) return
         val current = tenureOf(heldLease)
-        if (current.asksAt(clock.now())) demand.collect().forEach { current.loads.record(it, clock.now()) }
+        if (current.asksAt(clock.now())) inputs.demand.collect().forEach { current.loads.record(it, clock.now()) }
         table.services.values.filter { it.scaling != null }.forEach { plan(it, current) }
     }
 
     /** Another node may have sent other orders since the last lease, so each lease begins anew. */
     private fun tenureOf(heldLease: HeldLease): ScaleTenure = tenure?.takeIf { it.token == heldLease.fencingToken }
-        ?: ScaleTenure(heldLease.fencingToken, isFirst = heldLease.epoch == 1L, regions).also { tenure = it }
+        ?: ScaleTenure(heldLease.fencingToken, isFirst = heldLease.epoch == 1L, inputs.regions).also { tenure = it }
 
     private suspend fun plan(service: Service, current: ScaleTenure) {
         val now = clock.now()
@@ -111,7 +105,7 @@
     }
 
     private fun fleet(service: Service): ServiceFleet {
-        val servers = directory.view.of(service.id)
+        val servers = inputs.directory.view.of(service.id)
         val present = servers.groupBy { it.domain }
         val domains = present.keys + service.scaling?.prices?.keys.orEmpty()
         return ServiceFleet(domains.associateWith { serverCounts(present[it].orEmpty()) }, prefillShare(servers))
