--- a/src/main/kotlin/org/persimmonrelay/node/ScaleInputs.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/ScaleInputs.kt
@@ -6,8 +6,8 @@
 import org.persimmonrelay.route.ActiveRouteTable
 
 /**
- * What the numbers of servers are decided by: the services of [tables], their servers in [directory], the region of each
- * failure domain, and the [demand] of callers.
+ * What the numbers of servers are decided by: the services of [tables], their servers in [directory], the region of
+ * each failure domain, and the [demand] of callers.
  */
 internal class ScaleInputs(
     val tables: ActiveRouteTable,
