--- a/review/standin/DrainBetweenPages.java
+++ b/review/standin/DrainBetweenPages.java
@@ -1,31 +1,37 @@
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Servers of a large service drain while nodes are restarted as planned, and so read the list of servers, which takes
+ * Servers of a large service drain while a node is restarted as planned, and so reads the list of servers, which takes
  * two pages.
  */
 final class DrainBetweenPages extends Case {
     private static final int SERVERS = 640;
     private static final int MOST_LEAVING = 96;
-    private static final int MILLIS_BETWEEN = 15;
+    private static final int MILLIS_BETWEEN = 20;
     private static final int START_MILLIS = 300;
-    private static final int NODES = 2;
+    private static final int NODES = 1;
     private static final int DRAIN_MILLIS = 2_500;
+    private static final int EXTRA_MILLIS = 2_500;
     private static final int WORK_MILLIS = 250;
-    private static final int WARM_UP_MILLIS = 4_000;
-    private static final int WATCH_MILLIS = 3_000;
-    private static final int CLIENTS = 90;
+    private static final int WARM_UP_MILLIS = 5_000;
+    private static final int WATCH_MILLIS = 4_000;
+    private static final int CLIENTS = 60;
 
     private final Map<String, Double> drainingSince = new ConcurrentHashMap<>();
     private final Map<String, Integer> arrivals = new ConcurrentHashMap<>();
     private final AtomicInteger late = new AtomicInteger();
+    private final AtomicInteger lost = new AtomicInteger();
     private final AtomicInteger answered = new AtomicInteger();
+    private final Map<String, ServerSocket> listeners = new HashMap<>();
+    private final Map<String, Set<Socket>> connections = new ConcurrentHashMap<>();
     private final Map<String, Integer> ports = new HashMap<>();
 
     DrainBetweenPages(String folder) throws Exception {
@@ -34,24 +40,27 @@
 
     @Override
     boolean run() throws Exception {
-        config(7, "idempotent", 3_000, 2, KEY);
+        config(7, "non_idempotent", 3_000, 1, KEY);
         List<String> ids = new ArrayList<>();
         for (int i = 0; i < SERVERS; i++) {
             String id = String.format("i-%04x", i * 97 % 65_521);
-            int port = Http.listen(id, (request, out, socket) -> {
+            ServerSocket listener = Http.listen(id, (request, out, socket) -> {
+                connections.computeIfAbsent(id, each -> ConcurrentHashMap.newKeySet()).add(socket);
                 arrived(id, request);
                 Thread.sleep(WORK_MILLIS);
                 Http.respond(out, 200, BackendServer.proof(request), "ok".getBytes());
                 return true;
-            }).getLocalPort();
+            });
+            int port = listener.getLocalPort();
             ports.put(id, port);
+            listeners.put(id, listener);
             ids.add(id);
             announce(id, port, "ready", 1_000, 0);
         }
         Node[] nodes = new Node[NODES];
         for (int i = 0; i < NODES; i++) nodes[i] = startNode("front-puget-a-" + (i + 1));
         awaitReady(nodes);
-        load(nodes, WARM_UP_MILLIS);
+        load(nodes, WARM_UP_MILLIS, "warm-up-");
         List<String> leaving = busiest(ids);
         for (Node node : nodes) terminate(node);
         for (Node node : nodes) node.process().waitFor();
@@ -63,9 +72,9 @@
         }
         awaitReady(nodes);
         Thread.sleep(DRAIN_MILLIS);
-        load(nodes, WATCH_MILLIS);
+        load(nodes, WATCH_MILLIS, "later-");
         note(answered + " requests answered, " + late + " reached a server more than " + DRAIN_MILLIS
-            + " ms after its draining was acknowledged");
+            + " ms after its draining was acknowledged; " + lost + " were lost when a server ended");
         for (Node node : nodes) note("node " + node.name() + " noticed the draining of " + noticed(node) + " servers");
         return late.get() > 0;
     }
@@ -75,12 +84,20 @@
             .filter(line -> line.contains("SERVER_LISTED") && line.contains("\"leaving\":\"true\"")).count();
     }
 
+    /** A server that drains serves for DRAIN_MILLIS and a little longer, and then exits. */
+    private void exit(String id) throws Exception {
+        Thread.sleep(DRAIN_MILLIS + EXTRA_MILLIS);
+        listeners.get(id).close();
+        for (Socket socket : connections.getOrDefault(id, Set.of())) socket.close();
+    }
+
     private void drain(List<String> leaving) throws Exception {
         for (String id : leaving) {
             Thread.sleep(MILLIS_BETWEEN);
             announce(id, ports.get(id), "draining", 1_000, 1);
             drainingSince.put(id, seconds());
             note("draining of " + id + " acknowledged");
+            Http.daemon(id + "-exit", () -> exit(id));
         }
     }
 
@@ -103,7 +120,7 @@
             seconds() - since));
     }
 
-    private void load(Node[] nodes, int millis) throws Exception {
+    private void load(Node[] nodes, int millis, String phase) throws Exception {
         long end = System.nanoTime() + millis * 1_000_000L;
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < CLIENTS; i++) {
@@ -112,8 +129,12 @@
             threads.add(Http.daemon("client-" + i, () -> {
                 try (Client connection = new Client(node.callers(), 0, 4_000)) {
                     for (int k = 0; System.nanoTime() < end; k++) {
-                        connection.request("GET", "/shop/stock", "c" + client + "-" + k, KEY, 3_000, new byte[0]);
-                        if (connection.receive().status() == 200) answered.incrementAndGet();
+                        String id = phase + client + "-" + k;
+                        connection.request("POST", "/shop/book", id, KEY, 3_000, "{}".getBytes());
+                        int status = connection.receive().status();
+                        if (status == 200) answered.incrementAndGet();
+                        else note(id + ": status " + status);
+                        if (status == 502 || status == 504) lost.incrementAndGet();
                     }
                 }
             }));
