Keep an overdue attempt until another server serves the request

What callers saw: a sound server paused for longer than an attempt waits, and the request ended with 502 or with a stream cut in the middle, with seconds left.

Cause: the timeout of an attempt ended it and closed its connection before it was known whether another server takes the request. When none did (none to choose, a refusal, no retry budget, the limit of attempts or of sends, a quarantined request, a named limit, no connection left, no decode server after a prefill, too little time), there was nothing left to go on with.

Change: an attempt is only overdue (PartDeadline); it goes on, and another server is asked too, within the limits as before (retry budget, max_attempts over all attempts under way, three sends, quarantine). The first attempt with a part for the caller goes on alone; the others are cancelled at once. A prefill whose request is asked for elsewhere waits with its decode until the request may run. Silent servers are left at the same moment as before, since the other server is asked then.

Events 2712 and 2713, and the counter of attempts by end and by whether they were overdue.

--- a/src/main/kotlin/org/persimmonrelay/backend/InFlightRequest.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/InFlightRequest.kt
@@ -15,8 +15,8 @@
 )
 
 /**
- * A request in flight at a server, from sending to its end. [prefilledAt] is the load of the server whose KV cache this
- * one fetches, if any. Confined to the traffic thread.
+ * A request in flight at a server, from [sentAt] to its end. [prefilledAt] is the load of the server whose KV cache
+ * this one fetches, if any. Confined to the traffic thread.
  */
 public class InFlightRequest internal constructor(
     private val load: ServerLoad,
@@ -24,7 +24,7 @@
     private val chosen: Placement.Chosen,
     private val tokensAhead: Int,
     private val prefilledAt: ServerLoad?,
-    private val sentAt: Moment,
+    public val sentAt: Moment,
 ) {
     private var awaitsFirstResponse = true
     private var open = true
@@ -65,10 +65,11 @@
         close()
     }
 
-    /** No first part came in time; the request is given up there. */
-    public fun timedOut(now: Moment) {
+    /** The next part has not come in time; the request goes on there. */
+    public fun overdue(now: Moment) {
+        if (!open) return
         if (awaitsFirstResponse) estimates.lateness.record(now - sentAt - chosen.expected, now)
-        failed(now)
+        load.failed(now)
     }
 
     /** The server failed the request. */
--- a/src/main/kotlin/org/persimmonrelay/forward/ForwardEvent.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ForwardEvent.kt
@@ -18,5 +18,10 @@
         2711,
         "The work that this node's callers asked of a service, in engines and slots that it keeps busy.",
     ),
+    ATTEMPT_OVERDUE(
+        2712,
+        "A server's response is overdue; the attempt goes on, and another server is asked too if one can be had.",
+    ),
+    ATTEMPT_REPLACED(2713, "An attempt was ended because another server goes on with the request."),
     HANDLE_NOT_FREED(2708, "An unused KV cache could not be freed; it expires on the server."),
 }
--- a/src/main/kotlin/org/persimmonrelay/forward/ForwardMetrics.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ForwardMetrics.kt
@@ -17,16 +17,23 @@
         registry.counter("persimmonrelay.forward.requests", "outcome", outcome).increment()
     }
 
-    internal fun attempt(outcome: AttemptOutcome) {
-        val kind = when (outcome) {
+    /** An attempt ended with [outcome]; [isOverdue] if its response was overdue before. */
+    internal fun attempt(outcome: AttemptOutcome, isOverdue: Boolean) {
+        val end = when (outcome) {
             is AttemptOutcome.Delivered -> "delivered"
             is AttemptOutcome.Prefilled -> "prompt-read"
             is AttemptOutcome.NotRun -> "not-run"
             is AttemptOutcome.Failed -> "failed"
         }
-        registry.counter("persimmonrelay.forward.attempts", "end", kind).increment()
+        attemptEnded(end, isOverdue)
     }
 
+    /** An attempt was ended because another one goes on; [isOverdue] if its response was overdue. */
+    internal fun attemptReplaced(isOverdue: Boolean) = attemptEnded("replaced", isOverdue)
+
+    private fun attemptEnded(end: String, isOverdue: Boolean) =
+        registry.counter("persimmonrelay.forward.attempts", "end", end, "overdue", "$isOverdue").increment()
+
     private fun timer(name: String, description: String) =
         Timer.builder(name).description(description).publishPercentileHistogram().register(registry)
 }
--- a/src/main/kotlin/org/persimmonrelay/forward/Forwarder.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/Forwarder.kt
@@ -36,7 +36,7 @@
             val completed = withTimeoutOrNull(remaining) { execution.execute() }
             if (completed == null) execution.timedOut()
         } catch (e: CancellationException) {
-            dependencies.log.callerDisconnected(request, execution.trace, clock.now())
+            if (!execution.isDelivered) dependencies.log.callerDisconnected(request, execution.trace, clock.now())
             throw e
         }
     }
--- a/src/main/kotlin/org/persimmonrelay/forward/RequestExecution.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/RequestExecution.kt
@@ -1,190 +1,153 @@
 package org.persimmonrelay.forward
 
-import org.persimmonrelay.backend.BackendServer
-import org.persimmonrelay.backend.InFlightRequest
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeoutOrNull
 import org.persimmonrelay.backend.Placement
-import org.persimmonrelay.backend.PlacementQuery
 import org.persimmonrelay.backend.ServerInstance
 import org.persimmonrelay.clock.Moment
 import org.persimmonrelay.route.RouteKind
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Runs the attempts of one request until the caller has its final response. Confined to the traffic thread.
  *
- * `sends` counts attempts that reached a server, `runs` those in which the request may have run.
+ * An attempt whose response is overdue is hedged: it goes on, and another server is asked too. The first attempt with a
+ * part for the caller goes on alone. So a slow but sound server keeps the request when no other takes it.
  */
 internal class RequestExecution(
     private val dependencies: ForwardDependencies,
-    private val attemptDependencies: AttemptDependencies,
+    attemptDependencies: AttemptDependencies,
     private val request: ForwardedRequest,
-) {
+) : AttemptCoordinator {
     val trace = AttemptTrace()
     private val clock = dependencies.clock
     private val ending = RequestEnding(dependencies, request, trace)
-    private val limits = attemptDependencies.requestLimits
-    private val timeouts = AttemptTimeouts(attemptDependencies.settings)
-    private val progress = StreamProgress(request.attributes.lastEventId)
-    private val triedServers = HashSet<ServerInstance>()
-    private var sends = 0
-    private var runs = 0
-    private var mayHaveRun = false
-    private var mayHaveEndedServer = false
-    private var maySplit = true
-    private var lastFailure: AttemptOutcome.Failed? = null
-
-    suspend fun execute() {
-        while (true) {
-            val outcome = nextAttempt() ?: return
-            if (outcome is AttemptOutcome.Delivered) return ending.delivered(outcome.status, progress.forwardedEvents)
-            if (!mayRetry(outcome)) return ending.failed(lastFailure, mayHaveRun, refused = null)
+    private val history = AttemptHistory()
+    private val failures = ServerFailureReports(dependencies.requestGuard, request)
+    private val placement = RequestPlacement(dependencies, attemptDependencies.requestLimits, request, ::usedServers)
+    private val runner =
+        AttemptRunner(dependencies, attemptDependencies, request, placement, history, failures, trace, this)
+
+    /** The attempts under way, in the order of their start. */
+    private val running = ArrayList<RunningAttempt>()
+    private val hedgePacing = HedgePacing()
+
+    /** True once a server's whole response was sent to the caller. */
+    var isDelivered = false
+        private set
+
+    suspend fun execute() = coroutineScope {
+        while (running.isNotEmpty() || startNext()) {
+            val ended = awaitEnd(timeToHedge(clock.now()))
+            when {
+                ended == null -> hedge(clock.now())
+                hasEndedRequest(ended) -> break
+            }
         }
     }
 
-    /** The outcome of the next attempt; null when there can be none, and the request has ended. */
-    private suspend fun nextAttempt(): AttemptOutcome? {
+    /** Starts an attempt while none is under way; false when there can be none, and the request has ended. */
+    private fun CoroutineScope.startNext(): Boolean {
         val quarantined = dependencies.requestGuard.quarantined(request.profile)
         if (quarantined != null) {
-            ending.quarantined(quarantined, lastFailure, mayHaveRun)
-            return null
+            ending.quarantined(quarantined, history.lastFailure, history.mayHaveRun)
+            return false
         }
         val now = clock.now()
-        val placement = place(now)
-        val isRefused = placement is Placement.Refused
-        if (isRefused || sends > 0 && !dependencies.retryBudget.tryAcquire(request.profile.service, now)) {
-            ending.failed(lastFailure, mayHaveRun, placement as? Placement.Refused)
-            return null
+        val chosen = placement.choose(now)
+        if (chosen is Placement.Refused || history.sends > 0 && !tryAcquireRetry(now)) {
+            ending.failed(history.lastFailure, history.mayHaveRun, chosen as? Placement.Refused)
+            return false
         }
-        return if (placement is Placement.Split) split(placement) else run(placement as Placement.Chosen)
+        start(chosen)
+        return true
     }
 
-    private fun candidates() = dependencies.nearbyServers.of(dependencies.directory.view, request.profile.service)
-
-    private fun query(now: Moment): PlacementQuery {
-        val latest = (request.deadline - now) * LATEST_START_SHARE
-        val pauseTarget = (request.route.kind as? RouteKind.Streaming)?.pauseTarget
-        return PlacementQuery(
-            request = request.profile,
-            maxStartDelay = latest,
-            excluded = triedServers,
-            unavailable = limits.exhausted(candidates().all, clock.wallMillis()),
-            now = now,
-            maySplit = maySplit,
-            pauseTarget = pauseTarget,
-            latencyTarget = request.route.latencyTarget,
-        )
+    private fun CoroutineScope.start(chosen: Placement) {
+        val attempt = RunningAttempt()
+        running += attempt
+        // Undispatched, so that the deadline of the attempt is known at once.
+        attempt.outcome = async(start = CoroutineStart.UNDISPATCHED) {
+            when (chosen) {
+                is Placement.Chosen -> runner.run(attempt, chosen)
+                is Placement.Split -> runner.split(attempt, chosen)
+                is Placement.Refused -> AttemptOutcome.NotRun("refused", reachedServer = false)
+            }
+        }
     }
 
-    private fun place(now: Moment): Placement = dependencies.chooser.choose(query(now), candidates(), request.engine)
+    private fun tryAcquireRetry(now: Moment) = dependencies.retryBudget.tryAcquire(request.profile.service, now)
 
-    private suspend fun run(chosen: Placement.Chosen) = attempt(chosen, ServerTask.Run)
+    /** The attempt that ended; null when none did within [timeout]. */
+    private suspend fun awaitEnd(timeout: Duration?): RunningAttempt? = running.firstOrNull { it.outcome.isCompleted }
+        ?: if (timeout == null) nextEnd() else withTimeoutOrNull(timeout) { nextEnd() }
 
-    /**
-     * Prefills the prompt at one server and decodes at another. Tried once; later attempts run both at one server.
-     */
-    private suspend fun split(split: Placement.Split): AttemptOutcome {
-        maySplit = false
-        val prefill = attempt(split.prefill, ServerTask.Prefill)
-        if (prefill !is AttemptOutcome.Prefilled) return AttemptOutcome.NotRun("not-prefilled", reachedServer = true)
-        val prefillServer = split.prefill.server
-        var handleUsed = false
-        try {
-            if (dependencies.requestGuard.quarantined(request.profile) != null) {
-                return AttemptOutcome.NotRun("quarantined", reachedServer = false)
-            }
-            val decode =
-                dependencies.chooser.chooseDecode(
-                    query(clock.now()),
-                    candidates(),
-                    request.engine,
-                    prefillServer,
-                )
-            if (decode !is Placement.Chosen) return AttemptOutcome.NotRun("no-decode-server", reachedServer = false)
-            val outcome = attempt(decode, ServerTask.Decode(prefill.handle), prefillServer)
-            handleUsed = outcome is AttemptOutcome.Delivered
-            return outcome
-        } finally {
-            if (!handleUsed && progress.forwardedEvents == 0) dependencies.releaseHandle(prefillServer, prefill.handle)
-        }
-    }
+    private suspend fun nextEnd(): RunningAttempt =
+        select { running.forEach { attempt -> attempt.outcome.onJoin { attempt } } }
 
-    private suspend fun attempt(
-        chosen: Placement.Chosen,
-        task: ServerTask,
-        prefillServer: BackendServer? = null,
-    ): AttemptOutcome {
-        val now = clock.now()
-        limits.sent(chosen.server, clock.wallMillis())
-        val inFlight = dependencies.chooser.sent(chosen, request.profile, request.engine, now, prefillServer)
-        val attempt =
-            ServerAttempt(
-                attemptDependencies,
-                request,
-                chosen,
-                progress,
-                attemptTimeout(chosen, task),
-                task,
-                ::onResponseStarted,
-            )
-        trace.attemptStarted(chosen, clock.now())
-        var isEnded = false
-        try {
-            val outcome = attempt.run(inFlight)
-            isEnded = true
-            trace.attemptEnded(outcome, clock.now())
-            recordOutcome(chosen, task, outcome)
-            recordForGuard(chosen.server, inFlight, outcome)
-            return outcome
-        } finally {
-            if (!isEnded && attempt.wasSent) recordCancelled(chosen.server, inFlight, now)
-            if (attempt.wasSent && trace.lastMayHaveRun && task !is ServerTask.Prefill) mayHaveRun = true
-        }
+    /** True if the end of [attempt] is the end of the request. */
+    private suspend fun hasEndedRequest(attempt: RunningAttempt): Boolean {
+        if (!running.remove(attempt)) return false
+        val outcome = attempt.outcome.await()
+        if (outcome is AttemptOutcome.Delivered) return true
+        if (running.isNotEmpty() || mayRetry(outcome)) return false
+        ending.failed(history.lastFailure, history.mayHaveRun, refused = null)
+        return true
     }
 
-    private fun recordOutcome(chosen: Placement.Chosen, task: ServerTask, outcome: AttemptOutcome) {
-        dependencies.log.attemptEnded(request, chosen, outcome, clock.now())
-        if (outcome is AttemptOutcome.Prefilled) return
-        triedServers += chosen.server.instance
-        when (outcome) {
-            is AttemptOutcome.Delivered -> runs++
-            is AttemptOutcome.Failed -> {
-                sends++
-                if (task is ServerTask.Prefill) return
-                runs++
-                lastFailure = outcome
-            }
-            is AttemptOutcome.NotRun -> if (outcome.reachedServer) sends++
-            is AttemptOutcome.Prefilled -> Unit
-        }
+    /** How long after [now] to ask another server too; null while the newest attempt has no deadline. */
+    private fun timeToHedge(now: Moment): Duration? {
+        val due = running.last().nextPart.dueAt(now) ?: return null
+        return (maxOf(due, hedgePacing.nextAt) - now).coerceAtLeast(Duration.ZERO)
     }
 
-    private fun recordForGuard(server: BackendServer, inFlight: InFlightRequest, outcome: AttemptOutcome) {
-        val guard = dependencies.requestGuard
-        when {
-            outcome is AttemptOutcome.Delivered && outcome.isSuccess -> guard.responseCompleted(request.profile)
-            outcome is AttemptOutcome.Failed && outcome.serverMayHaveEnded ->
-                serverMayHaveEnded(server, inFlight.respondedAt)
-        }
+    /** The newest attempt is overdue: asks another server too, if one can be had. */
+    private fun CoroutineScope.hedge(now: Moment) {
+        val overdue = running.last()
+        val due = overdue.nextPart.dueAt(now)
+        if (due == null || due > now) return
+        markOverdue(overdue, now)
+        hedgePacing.tried(now)
+        if (!mayHedge() || dependencies.requestGuard.quarantined(request.profile) != null) return
+        val chosen = placement.choose(now)
+        if (chosen is Placement.Refused || !tryAcquireRetry(now)) return
+        hedgePacing.started()
+        start(chosen)
     }
 
-    private fun serverMayHaveEnded(server: BackendServer, respondedAt: Moment?) {
-        dependencies.requestGuard.serverMayHaveEnded(server, request.profile, respondedAt, isRetry = mayHaveEndedServer)
-        mayHaveEndedServer = true
+    private fun markOverdue(attempt: RunningAttempt, now: Moment) {
+        val call = attempt.call
+        if (call == null || call.isOverdue) return
+        call.isOverdue = true
+        call.inFlight.overdue(now)
+        call.trace.overdue(now)
+        dependencies.log.attemptOverdue(request, call, now)
+        failures.overdue(call)
     }
 
-    /** The caller left or the deadline passed; a server that was silent for long may have ended. */
-    private fun recordCancelled(server: BackendServer, inFlight: InFlightRequest, sentAt: Moment) {
-        if (inFlight.respondedAt != null || clock.now() - sentAt < LONG_SILENCE) return
-        serverMayHaveEnded(server, respondedAt = null)
+    private fun mayHedge(): Boolean = maySendAgain() &&
+        mayRunBeside(running) &&
+        !isResponseCommitted() &&
+        dependencies.requestGuard.mayRetry(request.profile)
+
+    private fun maySendAgain() = history.sends + running.size < MAX_SENDS && usedServers().size < MAX_TRIED_SERVERS
+
+    /** True if another attempt may run the request while those of [others] do that may run it. */
+    private fun mayRunBeside(others: List<RunningAttempt>): Boolean {
+        val runs = history.runs + others.count { it.mayRun }
+        return runs == 0 || request.route.isRetryable && runs < request.route.maxAttempts
     }
 
     private fun mayRetry(outcome: AttemptOutcome): Boolean = when (outcome) {
         is AttemptOutcome.Delivered, is AttemptOutcome.Prefilled -> false
-        is AttemptOutcome.NotRun -> sends < MAX_SENDS && triedServers.size < MAX_TRIED_SERVERS
+        is AttemptOutcome.NotRun -> maySendAgain()
         is AttemptOutcome.Failed ->
             request.route.isRetryable &&
-                runs < request.route.maxAttempts &&
+                history.runs < request.route.maxAttempts &&
                 !isResponseCommitted() &&
                 (!outcome.serverMayHaveEnded || dependencies.requestGuard.mayRetry(request.profile))
     }
@@ -195,37 +158,40 @@
      */
     private fun isResponseCommitted() = request.exchange.isResponseStarted && request.route.kind !is RouteKind.Streaming
 
-    private fun attemptTimeout(chosen: Placement.Chosen, task: ServerTask): Duration? {
-        val hasMoreAttempts = request.route.isRetryable && runs + 1 < request.route.maxAttempts
-        if (!hasMoreAttempts && task !is ServerTask.Prefill) return null
-        val now = clock.now()
-        val lateness = dependencies.chooser.usualLateness(request.profile.service, now)
-        return timeouts.timeout(chosen.expected, request.route.latencyTarget, lateness, request.deadline - now)
+    private fun usedServers(): Set<ServerInstance> {
+        val present = running.mapNotNull { it.call?.server?.instance }
+        return if (present.isEmpty()) history.triedServers else history.triedServers + present
     }
 
-    private fun onResponseStarted() {
-        val now = clock.now()
-        if (trace.responseStartedAt != null) return
-        trace.responseStartedAt = now
-        dependencies.log.firstPart(request, now)
-        request.workspace?.let {
-            dependencies.usage.record(
-                it.id,
-                request.profile.promptTokens.toLong(),
-                request.profile.outputTokens.toLong(),
-            )
+    override fun partArrived(attempt: RunningAttempt) {
+        if (running.size == 1) return
+        running.filter { it !== attempt }.forEach { it.replace() }
+        running.retainAll { it === attempt }
+    }
+
+    override fun delivered(status: Int) {
+        isDelivered = true
+        ending.delivered(status, runner.progress.forwardedEvents)
+    }
+
+    override suspend fun awaitRunPermit(attempt: RunningAttempt): Boolean {
+        while (true) {
+            val others = running.filter { it !== attempt }
+            if (mayRunBeside(others)) return true
+            val other = others.firstOrNull() ?: return false
+            other.outcome.join()
         }
     }
 
+    override fun mayRunOnceMore(): Boolean = mayRunBeside(running)
+
     /** The deadline passed, or the route's timeout. */
-    fun timedOut() = ending.timedOut(mayHaveRun)
+    fun timedOut() {
+        if (!isDelivered) ending.timedOut(history.mayHaveRun)
+    }
 
     private companion object {
-        val LONG_SILENCE = 1.seconds
         const val MAX_SENDS = 3
         const val MAX_TRIED_SERVERS = 6
-
-        /** Share of the remaining time within which a server has to start; later starts would miss the deadline. */
-        const val LATEST_START_SHARE = 0.8
     }
 }
--- a/src/main/kotlin/org/persimmonrelay/forward/RequestLog.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/RequestLog.kt
@@ -1,6 +1,5 @@
 package org.persimmonrelay.forward
 
-import org.persimmonrelay.backend.Placement
 import org.persimmonrelay.clock.Moment
 import org.persimmonrelay.http.CallerExchange
 import org.persimmonrelay.http.RequestRejection
@@ -69,28 +68,40 @@
 
     internal fun firstPart(request: ForwardedRequest, now: Moment) = metrics.firstPart(now - request.exchange.arrivedAt)
 
-    internal fun attemptEnded(
-        request: ForwardedRequest,
-        chosen: Placement.Chosen,
-        outcome: AttemptOutcome,
-        now: Moment,
-    ) {
-        metrics.attempt(outcome)
+    internal fun attemptEnded(request: ForwardedRequest, call: ServerCall, outcome: AttemptOutcome, now: Moment) {
+        metrics.attempt(outcome, call.isOverdue)
         if (outcome is AttemptOutcome.Delivered || outcome is AttemptOutcome.Prefilled) return
-        line(
-            now,
-            ForwardEvent.ATTEMPT_ENDED,
-            "id" with request.attributes.id,
-            "workspace" with request.workspace?.id,
-            "content" with request.profile.contentHash,
-            "parts" with request.profile.shared.take(MAX_LOGGED_PARTS).joinToString(",") { it.id.take(MAX_ID_LENGTH) },
-            "server" with chosen.server.instance.id,
-            "stage" with chosen.server.stage,
-            "expectedMillis" with chosen.expected.inWholeMilliseconds,
-            "end" with outcome.label,
-        )
+        val parts = request.profile.shared.take(MAX_LOGGED_PARTS).joinToString(",") { it.id.take(MAX_ID_LENGTH) }
+        attemptLine(ForwardEvent.ATTEMPT_ENDED, request, call, now, "parts" with parts, "end" with outcome.label)
+    }
+
+    internal fun attemptOverdue(request: ForwardedRequest, call: ServerCall, now: Moment) =
+        attemptLine(ForwardEvent.ATTEMPT_OVERDUE, request, call, now)
+
+    internal fun attemptReplaced(request: ForwardedRequest, call: ServerCall, now: Moment) {
+        metrics.attemptReplaced(call.isOverdue)
+        attemptLine(ForwardEvent.ATTEMPT_REPLACED, request, call, now, "overdue" with call.isOverdue)
     }
 
+    private fun attemptLine(
+        code: EventCode,
+        request: ForwardedRequest,
+        call: ServerCall,
+        now: Moment,
+        vararg more: EventField,
+    ) = line(
+        now,
+        code,
+        "id" with request.attributes.id,
+        "workspace" with request.workspace?.id,
+        "content" with request.profile.contentHash,
+        "server" with call.server.instance.id,
+        "stage" with call.server.stage,
+        "expectedMillis" with call.chosen.expected.inWholeMilliseconds,
+        "sentMillis" with (now - call.inFlight.sentAt).inWholeMilliseconds,
+        *more,
+    )
+
     /** Records a request that was rejected before it was handled. */
     public fun unreadable(rejection: RequestRejection): Unit =
         events.record(ForwardEvent.REQUEST_UNREADABLE, "reject" with rejection)
--- a/src/main/kotlin/org/persimmonrelay/forward/ResponseDelivery.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ResponseDelivery.kt
@@ -8,12 +8,10 @@
 import org.persimmonrelay.http.Framing
 import org.persimmonrelay.http.ResponsePart
 import org.persimmonrelay.route.RouteKind
-import kotlin.time.Duration
 
 /**
- * Forwards a server's response to the caller. [timeout] limits the wait for each part of a buffered body and for the
- * first event of a stream; null means that only the request's deadline applies. [onResponseStarted] is called before
- * the first part is sent.
+ * Forwards a server's response to the caller. [deadline] tells when the next part of a buffered body, or the next event
+ * of a stream, is due.
  */
 internal class ResponseDelivery(
     private val dependencies: AttemptDependencies,
@@ -21,10 +19,11 @@
     private val progress: StreamProgress,
     private val inFlight: InFlightRequest,
     private val sentAt: Moment,
-    private val timeout: Duration?,
-    private val onResponseStarted: () -> Unit,
+    private val deadline: PartDeadline,
+    private val listener: ResponseListener,
 ) {
     private val exchange = request.exchange
+    private val clock = dependencies.clock
 
     suspend fun deliver(reader: ResponseReader): AttemptOutcome {
         val status = reader.head.status
@@ -41,33 +40,39 @@
         head.headers.get(HttpHeaderNames.CONTENT_TYPE).orEmpty().startsWith(EVENT_STREAM, ignoreCase = true)
 
     private suspend fun deliverBuffered(reader: ResponseReader): AttemptOutcome {
-        onResponseStarted()
-        inFlight.firstResponse(dependencies.clock.now() - sentAt, dependencies.clock.now())
-        return when (val body = reader.readBody(dependencies.settings.maxBufferedBytes, timeout)) {
+        listener.responseStarted()
+        inFlight.firstResponse(clock.now() - sentAt, clock.now())
+        deadline.expectNext(clock.now())
+        return when (val body = reader.readBody(dependencies.settings.maxBufferedBytes) { expectData() }) {
             is BodyReadResult.Complete -> deliverComplete(reader.head, body.bytes)
             is BodyReadResult.Oversized -> deliverOversized(reader, body.start)
             is BodyReadResult.Incomplete -> failed("response incomplete: ${body.reason}", body.connectionEnded)
         }
     }
 
+    private fun expectData() = deadline.expectNext(clock.now())
+
     private fun deliverComplete(head: ResponsePart.Head, body: ByteArray): AttemptOutcome {
         val closesConnection = head.framing == Framing.UNTIL_CLOSE
         val response =
             CallerResponse(head.status, dependencies.headerCodec.callerHeaders(head.headers), body, closesConnection)
         if (head.status < FIRST_SERVER_ERROR && head.status !in NOT_RUN_STATUSES) {
-            inFlight.succeeded(dependencies.clock.now())
+            inFlight.succeeded(clock.now())
+            listener.partArrived()
             exchange.respond(response)
             return AttemptOutcome.Delivered(head.status)
         }
-        inFlight.failed(dependencies.clock.now())
+        inFlight.failed(clock.now())
         return AttemptOutcome.Failed("status ${head.status}", response.takeIf { head.status !in NOT_RUN_STATUSES })
     }
 
     private suspend fun deliverOversized(reader: ResponseReader, start: ByteArray): AttemptOutcome {
+        listener.partArrived()
         startResponse(reader.head)
         exchange.write(start)
+        deadline.clear()
         while (true) {
-            when (val part = reader.next(null)) {
+            when (val part = reader.next()) {
                 is ResponsePart.Data -> {
                     exchange.awaitWritable()
                     exchange.write(part.bytes)
@@ -80,10 +85,10 @@
 
     private suspend fun stream(reader: ResponseReader, kind: RouteKind.Streaming): AttemptOutcome {
         val splitter = EventStreamSplitter(dependencies.settings.maxEventBytes)
-        var eventDue = nextEventDue(kind)
+        deadline.expectNext(clock.now())
         while (true) {
-            exchange.awaitWritable()
-            val part = reader.next(eventDue?.let { (it - dependencies.clock.now()).coerceAtLeast(Duration.ZERO) })
+            awaitCaller()
+            val part = reader.next()
             if (part !is ResponsePart.Data) return streamEnded(part, reader, splitter)
             val events = splitter.feed(part.bytes)
             if (splitter.isOversized) return failed("event over ${dependencies.settings.maxEventBytes} bytes")
@@ -92,12 +97,20 @@
                 forward(event, reader.head)
             }
             // Bytes alone are no progress: a stalled server may send some now and then.
-            if (events.isNotEmpty()) eventDue = nextEventDue(kind)
+            if (events.isNotEmpty()) deadline.expectNextWithin(eventTimeout(kind), clock.now())
         }
     }
 
+    private suspend fun awaitCaller() {
+        deadline.pause(clock.now())
+        exchange.awaitWritable()
+        deadline.resume(clock.now())
+    }
+
+    private fun eventTimeout(kind: RouteKind.Streaming) = kind.pauseTarget * dependencies.settings.pauseTargetFactor
+
     private fun streamEnded(
-        part: ResponsePart?,
+        part: ResponsePart,
         reader: ResponseReader,
         splitter: EventStreamSplitter,
     ): AttemptOutcome = when (part) {
@@ -106,24 +119,15 @@
             "stream broken after ${progress.forwardedEvents} events: ${part.reason}",
             serverMayHaveEnded = true,
         )
-        null -> failed("stream timed out after ${progress.forwardedEvents} events", serverMayHaveEnded = true)
         is ResponsePart.Head, is ResponsePart.Data -> failed("second response inside a stream")
     }
 
-    private fun nextEventDue(kind: RouteKind.Streaming): Moment? =
-        eventTimeout(kind)?.let { dependencies.clock.now() + it }
-
-    private fun eventTimeout(kind: RouteKind.Streaming): Duration? = when {
-        timeout == null -> null
-        progress.forwardedEvents == 0 -> timeout
-        else -> kind.pauseTarget * dependencies.settings.pauseTargetFactor
-    }
-
     private fun forward(event: StreamEvent, head: ResponsePart.Head) {
-        inFlight.firstResponse(dependencies.clock.now() - sentAt, dependencies.clock.now())
+        inFlight.firstResponse(clock.now() - sentAt, clock.now())
         if (!progress.isNext(event)) return
+        listener.partArrived()
         if (!exchange.isResponseStarted) {
-            onResponseStarted()
+            listener.responseStarted()
             startResponse(head)
         }
         progress.eventForwarded(event)
@@ -136,6 +140,7 @@
         if (endedByClose(reader) && !splitter.hasCompleteEvent) {
             return failed("stream ended before its first event", serverMayHaveEnded = true)
         }
+        listener.partArrived()
         if (!exchange.isResponseStarted) startResponse(reader.head)
         return delivered(reader.head.status)
     }
@@ -146,7 +151,7 @@
     }
 
     private fun delivered(status: Int): AttemptOutcome {
-        inFlight.succeeded(dependencies.clock.now())
+        inFlight.succeeded(clock.now())
         exchange.endResponse()
         return AttemptOutcome.Delivered(status)
     }
@@ -154,7 +159,7 @@
     private fun endedByClose(reader: ResponseReader) = reader.head.framing == Framing.UNTIL_CLOSE
 
     private fun failed(label: String, serverMayHaveEnded: Boolean = false): AttemptOutcome {
-        inFlight.failed(dependencies.clock.now())
+        inFlight.failed(clock.now())
         return AttemptOutcome.Failed(label, serverMayHaveEnded = serverMayHaveEnded)
     }
 
--- a/src/main/kotlin/org/persimmonrelay/forward/ResponseReader.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ResponseReader.kt
@@ -7,7 +7,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** How long to read the rest of a response that is discarded, so that its connection can be reused. */
+/** How long to read the rest of a response that is not needed, so that its connection can be reused. */
 internal val DRAIN_TIMEOUT: Duration = 100.milliseconds
 
 /** Reads the body of a server's response whose [head] has arrived. */
@@ -16,31 +16,28 @@
     val head: ResponsePart.Head,
     private val clock: Clock,
 ) {
-    /** The next part of the body; null when none arrives within [timeout]. A null [timeout] waits without limit. */
-    suspend fun next(timeout: Duration?): ResponsePart? {
-        val part = within(timeout) { connection.receive() }
+    /** Waits for the next part of the body. */
+    suspend fun next(): ResponsePart {
+        val part = connection.receive()
         if (part is ResponsePart.End) connection.responseCompleted(head.headers, clock.now())
         return part
     }
 
-    /**
-     * Reads the body until it ends or exceeds [limit] bytes. Each part must arrive within [timeout]; null means no
-     * limit.
-     */
-    suspend fun readBody(limit: Int, timeout: Duration?): BodyReadResult {
+    /** Reads the body until it ends or exceeds [limit] bytes. [onData] is called after each part. */
+    suspend fun readBody(limit: Int, onData: () -> Unit = {}): BodyReadResult {
         val bytes = ByteArrayOutputStream()
         while (bytes.size() <= limit) {
-            val part = next(timeout)
+            val part = next()
             if (part !is ResponsePart.Data) return end(part, bytes)
             bytes.write(part.bytes)
+            onData()
         }
         return BodyReadResult.Oversized(bytes.toByteArray())
     }
 
-    private fun end(part: ResponsePart?, bytes: ByteArrayOutputStream): BodyReadResult = when (part) {
+    private fun end(part: ResponsePart, bytes: ByteArrayOutputStream): BodyReadResult = when (part) {
         is ResponsePart.End -> BodyReadResult.Complete(bytes.toByteArray())
         is ResponsePart.Broken -> BodyReadResult.Incomplete(part.reason, connectionEnded = true)
-        null -> BodyReadResult.Incomplete("The server sent no more data in time.")
         else -> BodyReadResult.Incomplete("A second response began before the first was complete.")
     }
 }
--- a/src/main/kotlin/org/persimmonrelay/forward/ServerAttempt.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ServerAttempt.kt
@@ -11,7 +11,6 @@
 import org.persimmonrelay.http.HttpConnection
 import org.persimmonrelay.http.OutgoingRequest
 import org.persimmonrelay.http.ResponsePart
-import kotlin.time.Duration
 
 /** Collaborators and settings that all attempts share. */
 internal class AttemptDependencies(
@@ -23,19 +22,27 @@
     val settings: ForwardSettings,
 )
 
+/** Told of the course of a response. */
+internal interface ResponseListener {
+    /** The server has shown that it runs the request. */
+    fun responseStarted()
+
+    /** The next bytes are for the caller and follow at once. */
+    fun partArrived()
+}
+
 /**
- * One attempt to have [request] served by the chosen server. [timeout] limits the wait for the response head, for each
- * part of a buffered body, and for the first event of a stream; null means that only the request's deadline applies.
- * [onResponseStarted] is called when the server first shows that it runs the request.
+ * One attempt to have [request] served by the chosen server. It ends with the response, with the connection, or when it
+ * is cancelled; [deadline] tells when its next part is due.
  */
 internal class ServerAttempt(
     private val dependencies: AttemptDependencies,
     private val request: ForwardedRequest,
     private val chosen: Placement.Chosen,
-    private val progress: StreamProgress,
-    private val timeout: Duration?,
     private val task: ServerTask,
-    private val onResponseStarted: () -> Unit,
+    private val progress: StreamProgress,
+    private val deadline: PartDeadline,
+    private val listener: ResponseListener,
 ) {
     private val server = chosen.server
 
@@ -71,6 +78,7 @@
             }
             val sentAt = dependencies.clock.now()
             send(connection, sentAt)
+            deadline.expectNext(sentAt)
             return awaitResponse(connection, inFlight, sentAt)
         } finally {
             inFlight.abandoned()
@@ -107,7 +115,7 @@
         inFlight: InFlightRequest,
         sentAt: Moment,
     ): AttemptOutcome {
-        val head = within(timeout) { receiveHead(connection) } ?: return silent(inFlight)
+        val head = receiveHead(connection)
         if (head is ResponsePart.Broken) return serverMayHaveEnded(inFlight, "connection failed: ${head.reason}")
         head as ResponsePart.Head
         val fields = dependencies.headerCodec.parseResponse(head.headers)
@@ -125,12 +133,12 @@
 
     private suspend fun rejected(reader: ResponseReader, inFlight: InFlightRequest): AttemptOutcome {
         inFlight.rejected(dependencies.clock.now())
-        reader.readBody(dependencies.settings.maxBufferedBytes, DRAIN_TIMEOUT)
+        withTimeoutOrNull(DRAIN_TIMEOUT) { reader.readBody(dependencies.settings.maxBufferedBytes) }
         return AttemptOutcome.NotRun("turned-away-${reader.head.status}", reachedServer = true)
     }
 
     private fun delivery(inFlight: InFlightRequest, sentAt: Moment) =
-        ResponseDelivery(dependencies, request, progress, inFlight, sentAt, timeout, onResponseStarted)
+        ResponseDelivery(dependencies, request, progress, inFlight, sentAt, deadline, listener)
 
     private fun recordLimit(fields: ServerResponseFields, sentAt: Moment) {
         val now = dependencies.clock.wallMillis()
@@ -143,7 +151,8 @@
         inFlight: InFlightRequest,
         sentAt: Moment,
     ): AttemptOutcome {
-        val body = reader.readBody(dependencies.settings.maxBufferedBytes, timeout) as? BodyReadResult.Complete
+        deadline.expectNext(dependencies.clock.now())
+        val body = reader.readBody(dependencies.settings.maxBufferedBytes) as? BodyReadResult.Complete
         val handle = body?.takeIf { reader.head.status == OK }
             ?.let { dependencies.headerCodec.parseKvHandle(server.address, it.bytes) }
             ?: return failed(inFlight, "no handle with ${reader.head.status}")
@@ -171,11 +180,6 @@
         return AttemptOutcome.Failed(label)
     }
 
-    private fun silent(inFlight: InFlightRequest): AttemptOutcome {
-        inFlight.timedOut(dependencies.clock.now())
-        return AttemptOutcome.Failed("silent", serverMayHaveEnded = true)
-    }
-
     private fun serverMayHaveEnded(inFlight: InFlightRequest, label: String): AttemptOutcome {
         inFlight.failed(dependencies.clock.now())
         return AttemptOutcome.Failed(label, serverMayHaveEnded = true)
@@ -187,7 +191,3 @@
         const val FIRST_ERROR_STATUS = 400
     }
 }
-
-/** Runs [block]; null when it does not complete within [timeout]. A null [timeout] means no limit. */
-internal suspend fun <T : Any> within(timeout: Duration?, block: suspend () -> T): T? =
-    if (timeout == null) block() else withTimeoutOrNull(timeout) { block() }
--- a/src/main/kotlin/org/persimmonrelay/forward/ServerClient.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ServerClient.kt
@@ -30,7 +30,7 @@
             connection.send(request)
             val head = connection.receive() as? ResponsePart.Head ?: return null
             val body =
-                ResponseReader(connection, head, clock).readBody(MAX_BODY_BYTES, timeout) as? BodyReadResult.Complete
+                ResponseReader(connection, head, clock).readBody(MAX_BODY_BYTES) as? BodyReadResult.Complete
             return body?.let { ServerResponse(head.status, it.bytes) }
         } finally {
             if (!connection.isReusable(clock.now())) connection.close()
--- a/src/test/kotlin/org/persimmonrelay/forward/ForwardFixture.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/ForwardFixture.kt
@@ -53,6 +53,7 @@
     timeout: Duration = 3.seconds,
     attempts: Int = 2,
     bodyLimit: Int = 4_096,
+    private val retryBudget: RetryBudgetPolicy = RetryBudgetPolicy(0.2, 20, 10.seconds),
 ) : AutoCloseable {
     private val thread = EventLoopThread("test-traffic")
     private val recorded = CopyOnWriteArrayList<Pair<EventCode, List<EventField>>>()
@@ -85,7 +86,7 @@
                 },
                 quarantine = RequestQuarantine { code, fields -> recorded += code to fields.toList() },
                 limits = object : ForwardLimits {
-                    override fun retryRule() = RetryBudgetPolicy(0.2, 20, 10.seconds)
+                    override fun retryRule() = retryBudget
 
                     override fun maxKeyStaleness() = null
 
@@ -197,11 +198,17 @@
         private val POLL = 5.milliseconds
         private const val READ_TIMEOUT_MILLIS = 10_000
 
-        fun request(id: String, method: String = "POST", body: String = "hello", vararg more: String): String {
+        fun request(
+            id: String,
+            method: String = "POST",
+            body: String = "hello",
+            vararg more: String,
+            deadlineMillis: Long = 2_500,
+        ): String {
             val headers = listOf(
                 "Host: host.example",
                 "Request-Id: $id",
-                "Deadline-Ms: 2500",
+                "Deadline-Ms: $deadlineMillis",
                 "Authorization: Token key-1",
                 "Connection: close",
                 "Content-Length: ${body.length}",
