Give up a server that sends another response without end

What callers could see: a server that begins a response to another request and writes its body without end keeps the node reading until the request's deadline, at the full speed of the link, beside all other requests of the node.

Cause: while the node looks for the head of the response to its request, it skips other responses; the number of heads was bounded, the bytes of their bodies were not.

Change: at most 1 MB is skipped; then the connection counts as broken.

Evidence: EndlessBytesTest, two new tests, failed before: 104 MB were read in one case of an idempotent request, and a request that may not be repeated ended with 504 after its whole deadline. They pass now.

--- a/src/main/kotlin/org/persimmonrelay/forward/ServerAttempt.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ServerAttempt.kt
@@ -163,12 +163,16 @@
 
     /**
      * Receives the head of the response to this request. Late responses to earlier requests on the connection are
-     * skipped, and so are successes without a request id. An error without one ends the wait.
+     * skipped, and so are successes without a request id; all of these have at most [MAX_SKIPPED_BYTES]. An error
+     * without an id ends the wait.
      */
     private suspend fun receiveHead(connection: HttpConnection): ResponsePart {
+        var skippedBytes = 0
         while (true) {
             val part = connection.receive()
             if (part is ResponsePart.Broken) return part
+            if (part is ResponsePart.Data) skippedBytes += part.bytes.size
+            if (skippedBytes > MAX_SKIPPED_BYTES) return ResponsePart.Broken("The server sent too many other bytes.")
             if (part !is ResponsePart.Head) continue
             val id = dependencies.headerCodec.parseResponse(part.headers).requestId
             if (id == request.attributes.id || id == null && part.status >= FIRST_ERROR_STATUS) return part
@@ -189,5 +193,6 @@
         const val OK = 200
         const val MISDIRECTED = 421
         const val FIRST_ERROR_STATUS = 400
+        const val MAX_SKIPPED_BYTES = 1024 * 1024
     }
 }
--- a/src/test/kotlin/org/persimmonrelay/forward/EndlessBytesTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/EndlessBytesTest.kt
@@ -44,6 +44,47 @@
         assertTrue(written.get() < BOUND_BYTES, "${written.get()} bytes")
     }
 
+    // Guards against a node that is busy, or runs out of memory, with bytes that belong to no request.
+    @Test
+    fun `bytes around the response are given up and the request is served by another server`() {
+        val other = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
+        val own = { id: String -> "HTTP/1.1 200 OK\r\nRequest-Id: $id\r\nServer-Stamp: s\r\n" }
+        val cases = listOf<Pair<String, (String) -> String>>(
+            "\r\n".repeat(500) to { "" },
+            "b".repeat(16_384) to { "$other\r\n" },
+            chunk("b".repeat(16_384)) to { "${other}Transfer-Encoding: chunked\r\n\r\n" },
+            "X-Filler: ${"a".repeat(1_000)}\r\n" to
+                { id -> "${own(id)}Transfer-Encoding: chunked\r\n\r\n" + chunk("b") + "0\r\n" },
+            "a".repeat(1_000) to { id -> "${own(id)}Transfer-Encoding: chunked\r\n\r\n1;" },
+        )
+        cases.forEachIndexed { i, (filler, start) ->
+            val written = AtomicLong()
+            val endless = ScriptedServer { request, socket ->
+                socket.writeText(start(request.id))
+                socket.writeEndlessly(filler, written)
+            }
+            val sound = ScriptedServer { request, socket -> socket.writeText(responseTo(request, "200 OK", "sound")) }
+            ForwardFixture(RouteKind.Idempotent, listOf(endless, sound)).use { node ->
+                repeat(4) { assertTrue(node.exchange(request("r$it")).endsWith("sound"), "case $i") }
+            }
+            assertTrue(written.get() < BOUND_BYTES, "case $i: ${written.get()} bytes")
+        }
+    }
+
+    // Guards against the same where no other server may be asked.
+    @Test
+    fun `bytes of another response without end end a request that may not be repeated`() {
+        val written = AtomicLong()
+        val endless = ScriptedServer { _, socket ->
+            socket.writeText("HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n")
+            socket.writeEndlessly("b".repeat(16_384), written)
+        }
+        ForwardFixture(RouteKind.NonIdempotent, listOf(endless)).use { node ->
+            assertTrue(node.exchange(request("r1")).startsWith("HTTP/1.1 502"))
+        }
+        assertTrue(written.get() < BOUND_BYTES, "${written.get()} bytes")
+    }
+
     @Test
     fun `a body without end waits in the server while the caller does not read, and ends at the deadline`() {
         val written = AtomicLong()
