Answer requests that still run when a node has to stop

What callers could see: in a planned stop with a long grace period, requests that came more than 3 s after SIGTERM were taken and passed on; those that still ran after 0.84 of the period lost their connection without an answer, also those that may not be repeated.

Cause: requests were accepted for a third of the grace period, whatever its length, and the end of the period ended the process while nobody answered what was under way.

Change: requests are accepted for 2.7 s at most. What runs after 0.84 of the period is ended: 503 if it was not sent to a server, 504 if it was; a response that has begun is reset. The node waits up to 0.04 of the period for that.

--- a/src/main/kotlin/org/persimmonrelay/forward/ForwardServer.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ForwardServer.kt
@@ -8,6 +8,7 @@
 import org.persimmonrelay.backend.NodeRetryBudget
 import org.persimmonrelay.backend.ServerChooser
 import org.persimmonrelay.backend.ServerRequestLimits
+import org.persimmonrelay.clock.Moment
 import org.persimmonrelay.http.CallerExchange
 import org.persimmonrelay.http.CallerHandler
 import org.persimmonrelay.http.CallerResponse
@@ -48,7 +49,8 @@
     private val demandLog = DemandLog(dependencies.events)
     private val log = RequestLog(dependencies.events, ForwardMetrics(dependencies.registry))
     private val errorResponses = ForwardErrorResponses(dependencies.headerCodec, log::unreadable)
-    private val callers = server(dependencies.settings.callers, forwarder())
+    private val forwarder = forwarder()
+    private val callers = server(dependencies.settings.callers, forwarder)
     private val readiness = server(dependencies.settings.readiness, CallerHandler { it.respond(readinessResponse()) })
     private val metrics = server(dependencies.settings.metrics, ::metricsResponse)
 
@@ -95,23 +97,32 @@
     /**
      * Shuts down within [grace]. The node reports at once that it is not ready and still accepts requests while the
      * balancer moves callers to other nodes. Then it refuses new requests as not run, and returns when all running
-     * requests have ended or [DRAIN_SHARE] of [grace] has passed.
+     * requests have ended. Those that still run after [DRAIN_SHARE] of [grace] get an answer that says so.
      */
     public suspend fun shutDown(grace: Duration) {
         val start = dependencies.clock.now()
         draining = true
         callers.startDraining()
-        while (dependencies.clock.now() - start < grace * ACCEPTING_SHARE) delay(POLL_INTERVAL)
+        val accepting = minOf(grace * ACCEPTING_SHARE, MAX_ACCEPTING)
+        while (dependencies.clock.now() - start < accepting) delay(POLL_INTERVAL)
         callers.stopListening()
         rejecting = true
-        while (dependencies.clock.now() - start < grace * DRAIN_SHARE) {
+        if (hasDrained(start + grace * DRAIN_SHARE)) return
+        forwarder.endAll()
+        hasDrained(start + grace * END_SHARE)
+    }
+
+    /** True once no request runs; false if some still do at [deadline]. */
+    private suspend fun hasDrained(deadline: Moment): Boolean {
+        while (true) {
             callers.closeIdle()
-            if (callers.activeRequests() == 0) return
+            if (callers.activeRequests() == 0) return true
+            if (dependencies.clock.now() >= deadline) return false
             delay(POLL_INTERVAL)
         }
     }
 
-    private fun forwarder(): CallerHandler {
+    private fun forwarder(): Forwarder {
         val admission =
             RequestAdmission(
                 dependencies.routeTable,
@@ -183,8 +194,14 @@
          */
         const val ACCEPTING_SHARE = 0.33
 
+        /** The longest such time; a request that is accepted later may not end before the node does. */
+        val MAX_ACCEPTING: Duration = 2_700.milliseconds
+
         /** Five sixths, for which running responses must not be cut, and a little more. */
         const val DRAIN_SHARE = 0.84
+
+        /** Share of the grace period after which the node stops, whatever still runs. */
+        const val END_SHARE = 0.88
         val POLL_INTERVAL: Duration = 25.milliseconds
     }
 }
--- a/src/main/kotlin/org/persimmonrelay/forward/RequestEnding.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/RequestEnding.kt
@@ -65,6 +65,19 @@
         else -> notRun(refused = null)
     }
 
+    /** The node stops. */
+    fun nodeStopped(mayHaveRun: Boolean) = when {
+        exchange.isResponseStarted -> cut("node stopped inside the answer")
+        mayHaveRun -> outcomeUnknown(GATEWAY_TIMEOUT, "The node stopped before the answer came.")
+        else -> respondNotRun(nodeLeaving())
+    }
+
+    private fun nodeLeaving() = Refusal.NotRun(
+        NotRunReason.NODE_LEAVING,
+        "This node is stopping; another takes the request.",
+        DRAINING_RETRY_AFTER,
+    )
+
     private fun cut(outcome: String) {
         exchange.abort()
         dependencies.log.failed(request, trace, outcome, clock.now())
--- a/src/main/kotlin/org/persimmonrelay/forward/RequestExecution.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/RequestExecution.kt
@@ -190,6 +190,11 @@
         if (!isDelivered) ending.timedOut(history.mayHaveRun)
     }
 
+    /** The node stops before the request has its response. */
+    fun nodeStopped() {
+        if (!isDelivered) ending.nodeStopped(history.mayHaveRun)
+    }
+
     private companion object {
         const val MAX_SENDS = 3
         const val MAX_TRIED_SERVERS = 6
