Bound what a node reads of an engine's faulty response

What could happen: an engine that writes a line, an error or a load report without end fills the memory of a `serve` node; the requests of other callers end with it.

Cause: KtorEngineClient read lines and bodies without a limit, and the client kept the whole body of a load report before it was looked at.

Change: lines have at most 256 KB, bodies 1 MB; longer ones fail the request or the call.

Heads were bounded by the JDK's client.

--- a/src/main/kotlin/org/persimmonrelay/engine/KtorEngineClient.kt
+++ b/src/main/kotlin/org/persimmonrelay/engine/KtorEngineClient.kt
@@ -7,18 +7,18 @@
 import io.ktor.client.engine.java.Java
 import io.ktor.client.plugins.HttpTimeout
 import io.ktor.client.request.HttpRequestBuilder
-import io.ktor.client.request.get
-import io.ktor.client.request.post
+import io.ktor.client.request.prepareGet
 import io.ktor.client.request.preparePost
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.bodyAsChannel
-import io.ktor.client.statement.bodyAsText
 import io.ktor.http.ContentType
 import io.ktor.http.HttpStatusCode
 import io.ktor.http.contentType
 import io.ktor.http.isSuccess
-import io.ktor.utils.io.readLine
+import io.ktor.utils.io.core.readText
+import io.ktor.utils.io.readLineStrict
+import io.ktor.utils.io.readRemaining
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.async
@@ -41,7 +41,8 @@
  *
  * Uses the JDK's client, which reuses connections between streams and closes the connection of a cancelled stream.
  * Only an output that ends with a finish reason is complete; one without was truncated. A stream that times out is
- * cancelled and its connection closed; the engine is not marked as failed.
+ * cancelled and its connection closed; the engine is not marked as failed. Lines and bodies that are longer than any
+ * that an engine sends fail the request.
  */
 public class KtorEngineClient(private val clock: Clock, private val timeouts: EngineTimeouts = EngineTimeouts()) :
     EngineClient,
@@ -89,13 +90,13 @@
         }.execute { response ->
             if (!response.status.isSuccess()) return@execute errorOf(address, response)
             val body = response.bodyAsChannel()
-            var line = body.readLine()
+            var line = body.readLineStrict(MAX_LINE_BYTES)
             while (line != null) {
                 if (line.startsWith(EngineRoutes.EVENT_PREFIX)) {
                     watch.recordProgress()
                     send(JSON.decodeFromString<OutputChunk>(line.substring(EngineRoutes.EVENT_PREFIX.length)).right())
                 }
-                line = body.readLine()
+                line = body.readLineStrict(MAX_LINE_BYTES)
             }
             null
         }
@@ -110,19 +111,16 @@
 
     override suspend fun loadReport(address: EngineAddress): Either<EngineFailure, EngineLoadReport> =
         controlCall(address) {
-            decodeResponse(address, http.get(url(address, EngineRoutes.LOAD)))
+            http.prepareGet(url(address, EngineRoutes.LOAD)).execute { decodeResponse(address, it) }
         }
 
     override suspend fun execute(
         address: EngineAddress,
         command: EngineCommand,
     ): Either<EngineFailure, EngineCommandResult> = controlCall(address) {
-        decodeResponse(
-            address,
-            http.post(url(address, EngineRoutes.ORDERS)) {
-                setJsonBody(JSON.encodeToString(EngineCommand.serializer(), command))
-            },
-        )
+        http.preparePost(url(address, EngineRoutes.ORDERS)) {
+            setJsonBody(JSON.encodeToString(EngineCommand.serializer(), command))
+        }.execute { decodeResponse(address, it) }
     }
 
     override fun close() {
@@ -134,15 +132,22 @@
         response: HttpResponse,
     ): Either<EngineFailure, T> {
         if (!response.status.isSuccess()) return errorOf(address, response).left()
-        return JSON.decodeFromString<T>(response.bodyAsText()).right()
+        return JSON.decodeFromString<T>(textOf(response)).right()
     }
 
     private suspend fun errorOf(address: EngineAddress, response: HttpResponse): EngineFailure {
-        val text = response.bodyAsText()
+        val text = textOf(response)
         if (response.status == HttpStatusCode.ServiceUnavailable) return EngineFailure.Refused(text)
         return EngineFailure.RequestFailed("Engine ${address.value} answered ${response.status.value}: $text")
     }
 
+    /** The body of [response]. Throws [IOException] if it is too long. */
+    private suspend fun textOf(response: HttpResponse): String {
+        val text = response.bodyAsChannel().readRemaining(MAX_BODY_BYTES + 1).readText()
+        if (text.length > MAX_BODY_BYTES) throw IOException("The response is longer than $MAX_BODY_BYTES bytes.")
+        return text
+    }
+
     private suspend fun <T> controlCall(
         address: EngineAddress,
         call: suspend () -> Either<EngineFailure, T>,
@@ -165,5 +170,7 @@
 
     private companion object {
         val JSON = Json { ignoreUnknownKeys = true }
+        const val MAX_LINE_BYTES = 256 * 1024L
+        const val MAX_BODY_BYTES = 1024 * 1024L
     }
 }
