Count the runs under way before a request that was not run is sent again

Its prefill was overdue, another server ran it whole and failed, and when the prefill came, its attempt ended as "not run", after which the request was sent once more.

Cause: an attempt that ends as not run was a reason to go on, whatever other attempts of the request had done. As long as attempts came one after the other, that was right.

Change: every further send asks whether one more run is allowed beside those that ended and those under way. Deadlines of parts are set for all attempts of requests that may run twice, and looked at when they pass: an attempt that is left alone when the others ended as not run can be hedged, too. An attempt that is cancelled while it connects no longer counts as running at its server.

Evidence: PausedServerTest "a request that may not run twice does not run again after its prefill was overdue" failed (2 runs) and passes.

--- a/src/main/kotlin/org/persimmonrelay/forward/AttemptRunner.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/AttemptRunner.kt
@@ -2,6 +2,7 @@
 
 import org.persimmonrelay.backend.BackendServer
 import org.persimmonrelay.backend.Placement
+import org.persimmonrelay.clock.Moment
 import kotlin.time.Duration
 
 /** Decides for an attempt of a request what depends on its other attempts. Confined to the traffic thread. */
@@ -14,9 +15,6 @@
 
     /** Waits until [attempt] may have the request run; false if it never may. */
     suspend fun awaitRunPermit(attempt: RunningAttempt): Boolean
-
-    /** True if one more attempt may run the request beside those under way. */
-    fun mayRunOnceMore(): Boolean
 }
 
 /** Runs the attempts of one request. Confined to the traffic thread. */
@@ -87,7 +85,7 @@
         val call = ServerCall(chosen, task, inFlight, trace.attemptStarted(chosen, now))
         attempt.call = call
         val deadline = attempt.nextPart
-        deadline.startCall(timeout(attempt, chosen), now)
+        deadline.startCall(timeout(chosen, task, now), now)
         val serverAttempt =
             ServerAttempt(attemptDependencies, request, chosen, task, progress, deadline, listener(attempt))
         var outcome: AttemptOutcome? = null
@@ -98,6 +96,7 @@
             }
         } finally {
             if (outcome == null && serverAttempt.wasSent) cancelled(attempt, call)
+            inFlight.abandoned()
             val isNotRun = outcome is AttemptOutcome.NotRun || task is ServerTask.Prefill
             if (serverAttempt.wasSent && !isNotRun) history.mayHaveRun = true
         }
@@ -124,10 +123,10 @@
         }
     }
 
-    /** How long to wait for a part of the response until it is overdue; null when no other server may be asked. */
-    private fun timeout(attempt: RunningAttempt, chosen: Placement.Chosen): Duration? {
-        if (attempt.mayRun && !coordinator.mayRunOnceMore()) return null
-        val now = clock.now()
+    /** How long to wait for a part of the response until it is overdue; null when no other server may ever be asked. */
+    private fun timeout(chosen: Placement.Chosen, task: ServerTask, now: Moment): Duration? {
+        val mayRunTwice = request.route.isRetryable && request.route.maxAttempts > 1
+        if (!mayRunTwice && task !is ServerTask.Prefill) return null
         val lateness = dependencies.chooser.usualLateness(request.profile.service, now)
         return timeouts.timeout(chosen.expected, request.route.latencyTarget, lateness, request.deadline - now)
     }
--- a/src/main/kotlin/org/persimmonrelay/forward/RequestExecution.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/RequestExecution.kt
@@ -75,7 +75,7 @@
             when (chosen) {
                 is Placement.Chosen -> runner.run(attempt, chosen)
                 is Placement.Split -> runner.split(attempt, chosen)
-                is Placement.Refused -> AttemptOutcome.NotRun("refused", reachedServer = false)
+                is Placement.Refused -> error("A request without a server is not started.")
             }
         }
     }
@@ -105,13 +105,14 @@
         return (maxOf(due, hedgePacing.nextAt) - now).coerceAtLeast(Duration.ZERO)
     }
 
-    /** The newest attempt is overdue: asks another server too, if one can be had. */
+    /** Asks another server too if the newest attempt is overdue and one can be had. */
     private fun CoroutineScope.hedge(now: Moment) {
-        val overdue = running.last()
-        val due = overdue.nextPart.dueAt(now)
+        val newest = running.last()
+        val due = newest.nextPart.dueAt(now)
         if (due == null || due > now) return
-        markOverdue(overdue, now)
         hedgePacing.tried(now)
+        if (!mayRunBeside(running)) return
+        markOverdue(newest, now)
         if (!mayHedge() || dependencies.requestGuard.quarantined(request.profile) != null) return
         val chosen = placement.choose(now)
         if (chosen is Placement.Refused || !tryAcquireRetry(now)) return
@@ -129,14 +130,12 @@
         failures.overdue(call)
     }
 
-    private fun mayHedge(): Boolean = maySendAgain() &&
-        mayRunBeside(running) &&
-        !isResponseCommitted() &&
-        dependencies.requestGuard.mayRetry(request.profile)
+    private fun mayHedge(): Boolean =
+        maySendAgain() && !isResponseCommitted() && dependencies.requestGuard.mayRetry(request.profile)
 
     private fun maySendAgain() = history.sends + running.size < MAX_SENDS && usedServers().size < MAX_TRIED_SERVERS
 
-    /** True if another attempt may run the request while those of [others] do that may run it. */
+    /** True if one more attempt may run the request beside [others] under way, after those that have ended. */
     private fun mayRunBeside(others: List<RunningAttempt>): Boolean {
         val runs = history.runs + others.count { it.mayRun }
         return runs == 0 || request.route.isRetryable && runs < request.route.maxAttempts
@@ -144,10 +143,9 @@
 
     private fun mayRetry(outcome: AttemptOutcome): Boolean = when (outcome) {
         is AttemptOutcome.Delivered, is AttemptOutcome.Prefilled -> false
-        is AttemptOutcome.NotRun -> maySendAgain()
+        is AttemptOutcome.NotRun -> maySendAgain() && mayRunBeside(running)
         is AttemptOutcome.Failed ->
-            request.route.isRetryable &&
-                history.runs < request.route.maxAttempts &&
+            mayRunBeside(running) &&
                 !isResponseCommitted() &&
                 (!outcome.serverMayHaveEnded || dependencies.requestGuard.mayRetry(request.profile))
     }
@@ -183,8 +181,6 @@
         }
     }
 
-    override fun mayRunOnceMore(): Boolean = mayRunBeside(running)
-
     /** The deadline passed, or the route's timeout. */
     fun timedOut() {
         if (!isDelivered) ending.timedOut(history.mayHaveRun)
--- a/src/test/kotlin/org/persimmonrelay/forward/PausedServerTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/PausedServerTest.kt
@@ -85,6 +85,24 @@
         }
     }
 
+    // Guards against a second run of a request that may not be repeated, after one beside its prefill failed (TWICE).
+    @Test
+    fun `a request that may not run twice does not run again after its prefill was overdue`() {
+        val prefilling = ScriptedServer { request, socket ->
+            Thread.sleep(PAUSE_MILLIS)
+            socket.writeText(responseTo(request, "200 OK", """{"kv_handle":"h1","tokens":900,"version":1}"""))
+        }
+        val decoding = List(3) { ScriptedServer(Other.RESETS.respond) }
+        val stages = listOf(EngineStage.PREFILL) + decoding.map { EngineStage.DECODE }
+        val kind = RouteKind.Streaming(resumable = false, pauseTarget = 50.milliseconds)
+        ForwardFixture(kind, listOf(prefilling) + decoding, stages, TIMEOUT).use { node ->
+            val response = node.exchange(longPrompt("r1"))
+
+            assertTrue(response.startsWith("HTTP/1.1 502"), response)
+            assertEquals(1, decoding.sumOf { it.requests.size })
+        }
+    }
+
     // Guards against waiting for the whole deadline for a server that has ended without a word.
     @Test
     fun `a server that stays silent is left in time, and the connection to it is closed`() {
