--- a/src/main/kotlin/org/persimmonrelay/forward/AttemptTimeouts.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/AttemptTimeouts.kt
@@ -3,9 +3,9 @@
 import kotlin.time.Duration
 
 /**
- * Decides how long an attempt waits for the start of a response before another server is tried. A server that does not
- * respond is given up soon; but when most responses are late, the others are as busy, and a request that is given up
- * loses its place in one queue for the last in another.
+ * Decides how long an attempt waits for the start of a response before another server is asked, too. Beside a server
+ * that does not respond another one is asked soon; but when most responses are late, the others are as busy, and a second
+ * request only makes the queues longer.
  */
 internal class AttemptTimeouts(private val settings: ForwardSettings) {
     /**
