--- a/src/main/kotlin/org/persimmonrelay/forward/AttemptTimeouts.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/AttemptTimeouts.kt
@@ -4,8 +4,8 @@
 
 /**
  * Decides how long an attempt waits for the start of a response before another server is asked, too. Beside a server
- * that does not respond another one is asked soon; but when most responses are late, the others are as busy, and a second
- * request only makes the queues longer.
+ * that does not respond another one is asked soon; but when most responses are late, the others are as busy, and a
+ * second request only makes the queues longer.
  */
 internal class AttemptTimeouts(private val settings: ForwardSettings) {
     /**
