--- a/src/test/kotlin/org/persimmonrelay/forward/ScriptedServer.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/ScriptedServer.kt
@@ -5,6 +5,7 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.nio.charset.Charset
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.concurrent.thread
 
@@ -18,14 +19,20 @@
     val id: String get() = header("Request-Id").orEmpty()
 }
 
-/** A backend server on loopback that runs [script] on the raw socket for each request. */
-class ScriptedServer(private val script: (RecordedRequest, Socket) -> Unit) : AutoCloseable {
+/**
+ * A backend server on loopback that runs [script] on the raw socket for each request. Unless it [readsBody], the script
+ * starts after the request's head.
+ */
+class ScriptedServer(private val readsBody: Boolean, private val script: (RecordedRequest, Socket) -> Unit) :
+    AutoCloseable {
     private val listening = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
     private val open = CopyOnWriteArrayList<Socket>()
     val port: Int = listening.localPort
     val requests = CopyOnWriteArrayList<RecordedRequest>()
     val isClosed: Boolean get() = listening.isClosed
 
+    constructor(script: (RecordedRequest, Socket) -> Unit) : this(readsBody = true, script)
+
     init {
         thread(isDaemon = true) { accept() }
     }
@@ -39,7 +46,7 @@
     }
 
     private fun serve(socket: Socket) {
-        val input = BufferedInputStream(socket.getInputStream())
+        val input = if (readsBody) BufferedInputStream(socket.getInputStream()) else socket.getInputStream()
         while (true) {
             val request = read(input) ?: return
             requests += request
@@ -55,7 +62,8 @@
             head.append(byte.toChar())
         }
         val length = Regex("(?i)content-length: *(\\d+)").find(head)?.groupValues?.get(1)?.toInt() ?: 0
-        return RecordedRequest(head.toString().trimEnd(), input.readNBytes(length))
+        val body = input.readNBytes(if (readsBody) length else 0)
+        return RecordedRequest(head.toString().trimEnd(), body)
     }
 
     /** Refuses new connections; open ones stay open. */
@@ -68,8 +76,8 @@
 }
 
 /** Writes [text] to the socket and flushes. */
-fun Socket.writeText(text: String) {
-    getOutputStream().write(text.encodeToByteArray())
+fun Socket.writeText(text: String, charset: Charset = Charsets.UTF_8) {
+    getOutputStream().write(text.toByteArray(charset))
     getOutputStream().flush()
 }
 
