--- a/src/test/kotlin/org/persimmonrelay/forward/InvalidResponseTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/InvalidResponseTest.kt
@@ -20,6 +20,34 @@
         assertEquals(emptyList(), passedOn(streaming, statusLines) { id, line -> stream(id, line) })
     }
 
+    // Guards against a field whose name was cut, passed on or taken for one of the server's (MIXED).
+    @Test
+    fun `a response with an invalid field is never passed on`() {
+        val fields = InvalidResponses.fieldLines
+
+        assertEquals(emptyList(), passedOn(RouteKind.NonIdempotent, fields) { id, line -> plain(id, OK, line) })
+        assertEquals(emptyList(), passedOn(RouteKind.NonIdempotent, fields) { id, line -> plain(id, OK, "A: 1", line) })
+        assertEquals(emptyList(), passedOn(RouteKind.NonIdempotent, fields) { id, line -> withFieldFirst(id, line) })
+        assertEquals(emptyList(), passedOn(streaming, fields) { id, line -> stream(id, OK, line) })
+    }
+
+    @Test
+    fun `a response with an invalid trailer is never passed on`() {
+        val fields = InvalidResponses.fieldLines
+
+        assertEquals(emptyList(), passedOn(RouteKind.NonIdempotent, fields) { id, line -> chunked(id, line) })
+        assertEquals(emptyList(), passedOn(RouteKind.NonIdempotent, fields) { id, line -> chunked(id, "A: 1", line) })
+    }
+
+    @Test
+    fun `an invalid head or trailer that arrives byte by byte is never passed on`() {
+        val forms =
+            listOf(plain("r00", "HTTP/1.1 000 OK"), withFieldFirst("r00", " X: 1"), plain("r00", OK, "A: 1", " B"))
+        val cutTrailers = listOf(chunked("r00", "X Bad: 1"), chunked("r00", "A: 1", " X: 1"))
+
+        assertEquals(emptyList(), passedOn(RouteKind.NonIdempotent, forms + cutTrailers, isSlow = true) { _, it -> it })
+    }
+
     @Test
     fun `a request whose response is invalid is served by another server`() {
         val broken = ScriptedServer { request, socket -> socket.writeText(plain(request.id, "HTTP/1.1 000 OK")) }
