Take a response with a transfer coding other than chunked for no response

Cause: Netty's decoder looks for chunked only and reads any other coding as if it were not there; the field itself concerns one connection and is not passed on.

Change: the check that requests already had is now TransferCodings, and responses go through it too. A node can read no coding but chunked.

--- a/src/main/kotlin/org/persimmonrelay/http/ResponseDecoder.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/ResponseDecoder.kt
@@ -11,7 +11,7 @@
 
 /**
  * Netty's response decoder that also rejects the responses that Netty repairs: those whose status line or fields break
- * the grammar of HTTP/1.1 (RFC 9112). [bodyless] is set when the
+ * the grammar of HTTP/1.1 (RFC 9112), and those with a transfer coding other than chunked. [bodyless] is set when the
  * response has no body because of the request's method.
  */
 internal class ResponseDecoder :
@@ -88,7 +88,10 @@
         return super.splitHeaderName(line, start, length)
     }
 
-    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = bodyless || super.isContentAlwaysEmpty(message)
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean {
+        TransferCodings.requireSupported(message)
+        return bodyless || super.isContentAlwaysEmpty(message)
+    }
 
     private companion object {
         const val MAX_LINE_BYTES = 8 * 1024
--- a/src/main/kotlin/org/persimmonrelay/http/StrictRequestDecoder.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/StrictRequestDecoder.kt
@@ -1,8 +1,6 @@
 package org.persimmonrelay.http
 
 import io.netty.handler.codec.http.HttpDecoderConfig
-import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequestDecoder
 
@@ -21,11 +19,7 @@
         throw IllegalArgumentException("The request has both Content-Length and chunked encoding.")
 
     override fun isContentAlwaysEmpty(msg: HttpMessage): Boolean {
-        val codings = msg.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
-        val isSupported = codings.isEmpty() ||
-            codings.size == 1 &&
-            codings[0].trim().equals(HttpHeaderValues.CHUNKED.toString(), ignoreCase = true)
-        require(isSupported) { "The request has an unsupported transfer coding." }
+        TransferCodings.requireSupported(msg)
         return super.isContentAlwaysEmpty(msg)
     }
 }
--- a/src/test/kotlin/org/persimmonrelay/forward/InvalidResponseTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/InvalidResponseTest.kt
@@ -48,6 +48,20 @@
         assertEquals(emptyList(), passedOn(RouteKind.NonIdempotent, forms + cutTrailers, isSlow = true) { _, it -> it })
     }
 
+    @Test
+    fun `a response with a transfer coding other than chunked is never passed on`() {
+        val codings = InvalidResponses.transferCodings.map { "Transfer-Encoding: $it" }
+
+        assertEquals(emptyList(), passedOn(RouteKind.NonIdempotent, codings) { id, line -> plain(id, OK, line) })
+        assertEquals(emptyList(), passedOn(RouteKind.NonIdempotent, codings) { id, line -> withoutLength(id, line) })
+        assertEquals(
+            emptyList(),
+            passedOn(RouteKind.NonIdempotent, codings) { id, line ->
+                withoutLength(id, line, chunk("body") + LAST_CHUNK)
+            },
+        )
+    }
+
     @Test
     fun `a request whose response is invalid is served by another server`() {
         val broken = ScriptedServer { request, socket -> socket.writeText(plain(request.id, "HTTP/1.1 000 OK")) }
