Take a response that broke off during its upload for a part

Cause: a response without a length ends with the connection, and counted as broken only when a read failed. Here the write fails first: Netty then closes the connection without a failed read, and the decoder ends the body. If the kernel had taken the whole upload, no write fails either: a server that closes with unread bytes may send the end of its output (FIN) first and the reset after it, and then reads report a proper end.

Change: ResponseHandler knows whether the request is written. A failed write marks the connection as failed. When the server ends its output, a response that nothing else marks as whole waits: first until the request is written (half closure; a server that reads on after the end of its output gets all of it), then 5 ms, after which ServerSocketChannel asks a selector for a pending error. Only then is the response whole. Responses with a length or in chunks wait for nothing.

A server that ends its output and then neither reads nor closes now holds such a request until its deadline and gives 504; before, its bytes counted as whole.

--- a/src/main/kotlin/org/persimmonrelay/http/HttpConnection.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/HttpConnection.kt
@@ -24,21 +24,18 @@
 public class HttpConnection internal constructor(private val channel: Channel, private val responses: ResponseHandler) {
     private var idleSince: Moment? = null
     private var idleTimeout: Duration? = null
-    private var written = true
 
     /** True if another request may be sent on the connection at [now]. */
     public fun isReusable(now: Moment): Boolean {
         if (!channel.isActive || responses.isUnusable) return false
-        if (responses.isResponseExpected || !written) return false
+        if (responses.isResponseExpected || !responses.isRequestWritten) return false
         val limit = idleTimeout ?: return true
         return idleSince?.let { now - it < limit } ?: true
     }
 
     /** Sends [request]; read its response with [receive]. */
     public fun send(request: OutgoingRequest) {
-        responses.isResponseExpected = true
-        responses.decoder.bodyless = request.method == HttpMethod.HEAD.name()
-        written = false
+        responses.requestStarted(isBodyless = request.method == HttpMethod.HEAD.name())
         val message = DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
             HttpMethod.valueOf(request.method),
@@ -46,7 +43,9 @@
             Unpooled.wrappedBuffer(request.body),
         )
         message.headers().set(request.headers)
-        channel.writeAndFlush(message).addListener { written = it.isSuccess }
+        channel.writeAndFlush(message).addListener {
+            if (it.isSuccess) responses.requestWritten() else responses.requestFailed()
+        }
     }
 
     /** Waits for the next part of the response. */
@@ -54,7 +53,7 @@
 
     /** Marks the connection as idle from [now] on, after a complete response with [headers]. */
     public fun responseCompleted(headers: HttpHeaders, now: Moment) {
-        responses.isResponseExpected = false
+        responses.responseCompleted()
         idleSince = now
         idleTimeout = keepAlive(headers)
         if (responses.decoder.undecodedBytes() > 0) close()
--- a/src/main/kotlin/org/persimmonrelay/http/HttpConnector.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/HttpConnector.kt
@@ -10,7 +10,6 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.socket.nio.NioChannelOption
-import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
 import jdk.net.ExtendedSocketOptions
 import kotlinx.coroutines.suspendCancellableCoroutine
@@ -31,9 +30,11 @@
         val responses = ResponseHandler()
         val bootstrap = Bootstrap()
             .group(thread.loop)
-            .channel(NioSocketChannel::class.java)
+            .channelFactory(::ServerSocketChannel)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout.inWholeMilliseconds.toInt().coerceAtLeast(1))
+            // The rest of a request is still written after the server has ended its output.
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.SO_KEEPALIVE, true)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_IDLE_SECONDS)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_INTERVAL_SECONDS)
--- a/src/main/kotlin/org/persimmonrelay/http/ResponseHandler.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/ResponseHandler.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBufUtil
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
@@ -11,6 +12,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.channels.Channel
+import java.util.concurrent.TimeUnit
 
 /**
  * Converts data received on a connection to [ResponsePart]s, and closes the connection on invalid data and on data that
@@ -25,10 +27,11 @@
 
     /** True from the sending of a request to the end of its response. */
     var isResponseExpected = false
-        set(value) {
-            field = value
-            headsSinceRequest = 0
-        }
+        private set
+
+    /** True unless a request is being written. */
+    var isRequestWritten = true
+        private set
 
     private var headsSinceRequest = 0
 
@@ -37,9 +40,37 @@
         private set
 
     private var isInterim = false
-    private var wasReset = false
+    private var hasFailed = false
     private var framing = Framing.DELIMITED
 
+    /** The server has ended its output, and with it a response whose end nothing else marks. */
+    private var isEndUnconfirmed = false
+
+    /** A request is about to be sent. Its response [isBodyless] if the request's method says so. */
+    fun requestStarted(isBodyless: Boolean) {
+        isResponseExpected = true
+        isRequestWritten = false
+        headsSinceRequest = 0
+        decoder.bodyless = isBodyless
+    }
+
+    /** The whole request was written. */
+    fun requestWritten() {
+        isRequestWritten = true
+        if (isEndUnconfirmed) scheduleEndCheck()
+    }
+
+    /** The request could not be written to its end, as the connection failed or was closed. */
+    fun requestFailed() {
+        hasFailed = true
+        context?.close()
+    }
+
+    /** The response was received to its end. */
+    fun responseCompleted() {
+        isResponseExpected = false
+    }
+
     /** Waits for the next part of the response. */
     suspend fun receive(): ResponsePart {
         val part = parts.receive()
@@ -92,9 +123,30 @@
     private fun content(content: HttpContent) {
         if (isInterim) return
         if (content.content().isReadable) data(ByteBufUtil.getBytes(content.content()))
-        if (content !is LastHttpContent) return
-        val incomplete = framing == Framing.UNTIL_CLOSE && wasReset
-        parts.trySend(if (incomplete) ResponsePart.Broken("The server reset the connection.") else ResponsePart.End)
+        if (content is LastHttpContent) end()
+    }
+
+    private fun end() {
+        when {
+            framing == Framing.DELIMITED -> parts.trySend(ResponsePart.End)
+            hasFailed -> parts.trySend(ResponsePart.Broken(RESET))
+            else -> {
+                isEndUnconfirmed = true
+                if (isRequestWritten) scheduleEndCheck()
+            }
+        }
+    }
+
+    private fun scheduleEndCheck() {
+        context?.executor()?.schedule(::checkEnd, RESET_DELAY_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    /** A server that ended before it had read the request has reset the connection after the end of its output. */
+    private fun checkEnd() {
+        val channel = context?.channel() as? ServerSocketChannel ?: return
+        if (!channel.isOpen) return
+        parts.trySend(if (channel.hasFailed()) ResponsePart.Broken(RESET) else ResponsePart.End)
+        channel.close()
     }
 
     private fun data(bytes: ByteArray) {
@@ -111,22 +163,31 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         isUnusable = true
-        parts.trySend(
-            ResponsePart.Broken(
-                if (wasReset) "The server reset the connection." else "The server closed the connection.",
-            ),
-        )
+        parts.trySend(ResponsePart.Broken(if (hasFailed) RESET else "The server closed the connection."))
+    }
+
+    /** The server has ended its output; the connection is of no more use, except to write the rest of the request. */
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event is ChannelInputShutdownEvent) {
+            isUnusable = true
+            if (!isEndUnconfirmed) context.close()
+        }
+        context.fireUserEventTriggered(event)
     }
 
     @Deprecated("Deprecated in Netty's base interface.")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        wasReset = true
+        hasFailed = true
         failConnection(context, "The connection failed: ${cause.message}.")
     }
 
     private companion object {
         val BODYLESS_STATUSES = setOf(204, 304)
 
+        /** How long after the end of its output the reset of a server arrives. */
+        const val RESET_DELAY_MILLIS = 5L
+        const val RESET = "The server reset the connection."
+
         /** Per connection; a response is read in parts of a few kilobytes. */
         const val MAX_BUFFERED_BYTES = 64 * 1024
 
--- a/src/main/kotlin/org/persimmonrelay/http/ResponsePart.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/ResponsePart.kt
@@ -7,7 +7,10 @@
     /** By a length or by chunks, or there is no body. Truncation is detected. */
     DELIMITED,
 
-    /** By the end of the connection. Truncation is detected only if the connection is reset. */
+    /**
+     * By the end of the connection. Truncation is detected only if the connection fails, also while the rest of the
+     * request is written.
+     */
     UNTIL_CLOSE,
 }
 
