Read what engines, services and the platform answer in serve as strictly

What callers saw: the node of `serve` reads responses with the JDK's client and Ktor's CIO. Of 74 invalid responses (28 status lines, 20 fields, 20 trailers, 6 transfer codings) a plain service's 37 were passed on as answers, and recorded as outcomes of calls that run once, among them statuses 2000 and 999; an engine's 35 were taken for output; the platform's 7 were taken. Two of each of the first and 39 of the platform's ended in an unchecked exception that no client expects. An object that was cut off between two chunks was taken for the whole one, and sound chunked responses with trailers were refused. A service that closed with unread bytes of a 4 MB upload gave a complete 200 in 8 of 10 tries.

Cause: as with Netty's decoder, each library repairs what it can, and each in its own way; none tells a reset after the end of the server's output.

Change: StrictHttpEngine is an engine for Ktor's client over HttpConnector, so that there is one reader of responses. ServiceClient, KtorEngineClient and PlatformHttpClient use it; every failure is an IOException, a connection that could not be opened a ConnectException. HttpConnector can encrypt, since the platform's addresses may be https.

--- a/src/main/kotlin/org/persimmonrelay/engine/KtorEngineClient.kt
+++ b/src/main/kotlin/org/persimmonrelay/engine/KtorEngineClient.kt
@@ -4,7 +4,6 @@
 import arrow.core.left
 import arrow.core.right
 import io.ktor.client.HttpClient
-import io.ktor.client.engine.java.Java
 import io.ktor.client.plugins.HttpTimeout
 import io.ktor.client.request.HttpRequestBuilder
 import io.ktor.client.request.prepareGet
@@ -33,13 +32,13 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.persimmonrelay.clock.Clock
+import org.persimmonrelay.http.StrictHttpEngine
 import java.io.IOException
-import java.net.http.HttpClient.Version
 
 /**
  * Client for engines over HTTP/1.1, with one connection per stream.
  *
- * Uses the JDK's client, which reuses connections between streams and closes the connection of a cancelled stream.
+ * Reuses connections between streams and closes the connection of a cancelled stream. An invalid response fails it.
  * Only an output that ends with a finish reason is complete; one without was truncated. A stream that times out is
  * cancelled and its connection closed; the engine is not marked as failed. Lines and bodies that are longer than any
  * that an engine sends fail the request.
@@ -47,11 +46,11 @@
 public class KtorEngineClient(private val clock: Clock, private val timeouts: EngineTimeouts = EngineTimeouts()) :
     EngineClient,
     AutoCloseable {
+    private val httpEngine = StrictHttpEngine(clock, "engine-client")
     private val http =
-        HttpClient(Java) {
+        HttpClient(httpEngine) {
             expectSuccess = false
             followRedirects = false
-            engine { protocolVersion = Version.HTTP_1_1 }
             install(HttpTimeout) { connectTimeoutMillis = timeouts.connect.inWholeMilliseconds }
         }
 
@@ -125,6 +124,7 @@
 
     override fun close() {
         http.close()
+        httpEngine.close()
     }
 
     private suspend inline fun <reified T> decodeResponse(
--- a/src/main/kotlin/org/persimmonrelay/entry/EntryServer.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/EntryServer.kt
@@ -49,7 +49,7 @@
             settings.withdrawnKeyGrace,
         )
     private val bodyReader = RequestBodyReader(settings.maxBodyBytes, settings.bodyTimeout)
-    private val serviceClient = ServiceClient(settings.maxResponseBytes, settings.connectTimeout)
+    private val serviceClient = ServiceClient(settings.maxResponseBytes, settings.connectTimeout, dependencies.clock)
     private val services =
         ServiceHandler(
             authenticator,
--- a/src/main/kotlin/org/persimmonrelay/entry/ServiceClient.kt
+++ b/src/main/kotlin/org/persimmonrelay/entry/ServiceClient.kt
@@ -1,7 +1,6 @@
 package org.persimmonrelay.entry
 
 import io.ktor.client.HttpClient
-import io.ktor.client.engine.java.Java
 import io.ktor.client.plugins.HttpTimeout
 import io.ktor.client.request.HttpRequestBuilder
 import io.ktor.client.request.headers
@@ -19,18 +18,22 @@
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.readByteArray
+import org.persimmonrelay.clock.Clock
 import org.persimmonrelay.engine.EngineErrors
+import org.persimmonrelay.http.StrictHttpEngine
 import java.io.IOException
 import kotlin.time.Duration
 
 /**
  * Client for plain services: one attempt per request, no redirects, responses of at most [maxResponseBytes].
  *
- * Uses the JDK's HTTP client because it detects truncated responses; Ktor's CIO engine does not.
+ * An invalid or truncated response gives an unknown outcome.
  */
-internal class ServiceClient(private val maxResponseBytes: Long, connectTimeout: Duration) : AutoCloseable {
+internal class ServiceClient(private val maxResponseBytes: Long, connectTimeout: Duration, clock: Clock) :
+    AutoCloseable {
+    private val engine = StrictHttpEngine(clock, "service-client")
     private val http =
-        HttpClient(Java) {
+        HttpClient(engine) {
             expectSuccess = false
             followRedirects = false
             install(HttpTimeout) { connectTimeoutMillis = connectTimeout.inWholeMilliseconds }
@@ -52,6 +55,7 @@
 
     override fun close() {
         http.close()
+        engine.close()
     }
 
     private suspend fun exchange(address: String, request: ServiceRequest): ServiceCallOutcome =
--- a/src/main/kotlin/org/persimmonrelay/http/HttpConnector.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/HttpConnector.kt
@@ -11,6 +11,7 @@
 import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.handler.codec.http.HttpRequestEncoder
+import io.netty.handler.ssl.SslContext
 import jdk.net.ExtendedSocketOptions
 import kotlinx.coroutines.suspendCancellableCoroutine
 import java.net.ConnectException
@@ -23,8 +24,11 @@
  */
 public data class ConnectFailure(val message: String, val isRefused: Boolean = false)
 
-/** Opens HTTP/1.1 connections whose input and output run on [thread]. */
-public class HttpConnector(private val thread: EventLoopThread) {
+/** Certificates to trust and the [name] that a server's certificate must have. */
+public class TlsServer(internal val context: SslContext, internal val name: String)
+
+/** Opens HTTP/1.1 connections whose input and output run on [thread], encrypted if [tls] is given. */
+public class HttpConnector(private val thread: EventLoopThread, private val tls: TlsServer? = null) {
     /** Connects to [address] within [timeout]. To be called on the connector's thread. */
     public suspend fun connect(address: ServerAddress, timeout: Duration): Either<ConnectFailure, HttpConnection> {
         val responses = ResponseHandler()
@@ -39,7 +43,7 @@
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_IDLE_SECONDS)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_INTERVAL_SECONDS)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES)
-            .handler(initializer(responses))
+            .handler(initializer(address, responses))
         val future = bootstrap.connect(address.host, address.port)
         return if (awaitSuccess(future)) {
             HttpConnection(future.channel(), responses).right()
@@ -53,11 +57,13 @@
         isRefused = cause is ConnectException && cause !is ConnectTimeoutException,
     )
 
-    private fun initializer(responses: ResponseHandler) = object : ChannelInitializer<Channel>() {
-        override fun initChannel(channel: Channel) {
-            channel.pipeline().addLast(HttpRequestEncoder(), responses.decoder, responses)
+    private fun initializer(address: ServerAddress, responses: ResponseHandler) =
+        object : ChannelInitializer<Channel>() {
+            override fun initChannel(channel: Channel) {
+                tls?.let { channel.pipeline().addLast(it.context.newHandler(channel.alloc(), it.name, address.port)) }
+                channel.pipeline().addLast(HttpRequestEncoder(), responses.decoder, responses)
+            }
         }
-    }
 
     private suspend fun awaitSuccess(future: ChannelFuture): Boolean = suspendCancellableCoroutine { continuation ->
         future.addListener { if (continuation.isActive) continuation.resume(it.isSuccess) }
--- a/src/main/kotlin/org/persimmonrelay/node/PlatformClients.kt
+++ b/src/main/kotlin/org/persimmonrelay/node/PlatformClients.kt
@@ -20,7 +20,7 @@
 
 /** Clients for the platform's HTTP interfaces, sharing one HTTP client. */
 public class PlatformClients(settings: PlatformSettings, clock: Clock, random: Random) : AutoCloseable {
-    private val http = PlatformHttpClient()
+    private val http = PlatformHttpClient(clock)
 
     public val table: TableService = HttpTableService(http, settings.table)
     public val reliableTable: ReliableTable = ReliableTable(table, clock, random)
--- a/src/main/kotlin/org/persimmonrelay/platform/http/PlatformHttpClient.kt
+++ b/src/main/kotlin/org/persimmonrelay/platform/http/PlatformHttpClient.kt
@@ -4,7 +4,6 @@
 import arrow.core.left
 import arrow.core.right
 import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
 import io.ktor.client.plugins.HttpTimeout
 import io.ktor.client.request.HttpRequestBuilder
 import io.ktor.client.request.request
@@ -21,6 +20,8 @@
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.SerializationStrategy
 import kotlinx.serialization.json.Json
+import org.persimmonrelay.clock.Clock
+import org.persimmonrelay.http.StrictHttpEngine
 import org.persimmonrelay.platform.StoreUnavailable
 import java.io.IOException
 import kotlin.time.Duration
@@ -32,12 +33,12 @@
  * A call that fails, exceeds [timeout] or gets an error response returns [StoreUnavailable]: the caller can't know
  * whether a write took effect.
  */
-public class PlatformHttpClient(private val timeout: Duration = 3.seconds) : AutoCloseable {
+public class PlatformHttpClient(clock: Clock, private val timeout: Duration = 3.seconds) : AutoCloseable {
+    private val engine = StrictHttpEngine(clock, "platform-client")
     private val client =
-        HttpClient(CIO) {
+        HttpClient(engine) {
             expectSuccess = false
             install(HttpTimeout) { requestTimeoutMillis = timeout.inWholeMilliseconds }
-            engine { endpoint.maxConnectionsPerRoute = MAX_CONNECTIONS }
         }
 
     internal suspend fun <Q, A> post(
@@ -72,7 +73,10 @@
     internal suspend fun delete(url: String): Either<StoreUnavailable, Unit> =
         requireSuccess(url) { method = HttpMethod.Delete }.map { }
 
-    override fun close(): Unit = client.close()
+    override fun close() {
+        client.close()
+        engine.close()
+    }
 
     private suspend fun requireSuccess(
         url: String,
@@ -111,7 +115,6 @@
         StoreUnavailable("$url answered ${response.status.value}; try again later.")
 
     private companion object {
-        const val MAX_CONNECTIONS = 64
         const val NOT_FOUND = 404
         val JSON = Json { ignoreUnknownKeys = true }
     }
--- a/src/test/kotlin/org/persimmonrelay/entry/ServiceClientTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/entry/ServiceClientTest.kt
@@ -2,6 +2,7 @@
 
 import io.ktor.http.HttpMethod
 import kotlinx.coroutines.runBlocking
+import org.persimmonrelay.clock.SystemClock
 import java.net.ServerSocket
 import kotlin.concurrent.thread
 import kotlin.test.Test
@@ -48,7 +49,7 @@
         val port = ServerSocket(0).use { it.localPort }
 
         assertIs<ServiceCallOutcome.NotSent>(
-            ServiceClient(LIMIT, 1.seconds).use {
+            ServiceClient(LIMIT, 1.seconds, SystemClock).use {
                 it.send("127.0.0.1:$port", REQUEST, 1.seconds)
             },
         )
@@ -65,7 +66,9 @@
             }
         val timeout = if (close) 10.seconds else 200.milliseconds
         runBlocking {
-            ServiceClient(LIMIT, 1.seconds).use { it.send("127.0.0.1:${server.localPort}", REQUEST, timeout) }
+            ServiceClient(LIMIT, 1.seconds, SystemClock).use {
+                it.send("127.0.0.1:${server.localPort}", REQUEST, timeout)
+            }
         }.also { serverThread.join() }
     }
 
--- a/src/test/kotlin/org/persimmonrelay/forward/ScriptedServer.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/ScriptedServer.kt
@@ -23,15 +23,20 @@
  * A backend server on loopback that runs [script] on the raw socket for each request. Unless it [readsBody], the script
  * starts after the request's head.
  */
-class ScriptedServer(private val readsBody: Boolean, private val script: (RecordedRequest, Socket) -> Unit) :
-    AutoCloseable {
-    private val listening = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
+class ScriptedServer(
+    private val readsBody: Boolean,
+    private val listening: ServerSocket = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1")),
+    private val script: (RecordedRequest, Socket) -> Unit,
+) : AutoCloseable {
     private val open = CopyOnWriteArrayList<Socket>()
     val port: Int = listening.localPort
     val requests = CopyOnWriteArrayList<RecordedRequest>()
+
+    /** Number of connections that were accepted. */
+    val connections: Int get() = open.size
     val isClosed: Boolean get() = listening.isClosed
 
-    constructor(script: (RecordedRequest, Socket) -> Unit) : this(readsBody = true, script)
+    constructor(script: (RecordedRequest, Socket) -> Unit) : this(readsBody = true, script = script)
 
     init {
         thread(isDaemon = true) { accept() }
--- a/src/test/kotlin/org/persimmonrelay/platform/http/PlatformHttpClientTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/platform/http/PlatformHttpClientTest.kt
@@ -1,6 +1,7 @@
 package org.persimmonrelay.platform.http
 
 import kotlinx.coroutines.runBlocking
+import org.persimmonrelay.clock.SystemClock
 import org.persimmonrelay.identity.OperationId
 import org.persimmonrelay.platform.CommitResult
 import org.persimmonrelay.platform.Condition
@@ -19,7 +20,7 @@
 class PlatformHttpClientTest {
     private val fake = FakePlatform()
     private val server = StandInPlatformServer(fake.platform)
-    private val http = PlatformHttpClient()
+    private val http = PlatformHttpClient(SystemClock)
     private val settings = runBlocking { server.start() }
     private val table = HttpTableService(http, settings.table)
     private val objects = HttpObjectStore(http, settings.objects)
