--- a/src/main/kotlin/org/persimmonrelay/http/ServerSocketChannel.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/ClientSocketChannel.kt
@@ -7,7 +7,7 @@
 import java.nio.channels.Selector
 
 /** A channel to a server that also tells of a reset that came after the end of the server's output. */
-internal class ServerSocketChannel : NioSocketChannel() {
+internal class ClientSocketChannel : NioSocketChannel() {
     /** True if the connection has failed, or can't be examined. Reads do not tell once the input has ended. */
     fun hasFailed(): Boolean = try {
         Selector.open().use(::hasErrorPending)
@@ -23,6 +23,6 @@
     }
 
     private companion object {
-        val LOGGER = LoggerFactory.getLogger(ServerSocketChannel::class.java)
+        val LOGGER = LoggerFactory.getLogger(ClientSocketChannel::class.java)
     }
 }
--- a/src/main/kotlin/org/persimmonrelay/http/HttpConnector.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/HttpConnector.kt
@@ -34,7 +34,7 @@
         val responses = ResponseHandler()
         val bootstrap = Bootstrap()
             .group(thread.loop)
-            .channelFactory(::ServerSocketChannel)
+            .channelFactory(::ClientSocketChannel)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout.inWholeMilliseconds.toInt().coerceAtLeast(1))
             // The rest of a request is still written after the server has ended its output.
--- a/src/main/kotlin/org/persimmonrelay/http/ResponseHandler.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/ResponseHandler.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.ssl.SslHandler
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.channels.Channel
 import java.util.concurrent.TimeUnit
@@ -143,12 +144,18 @@
 
     /** A server that ended before it had read the request has reset the connection after the end of its output. */
     private fun checkEnd() {
-        val channel = context?.channel() as? ServerSocketChannel ?: return
+        val channel = context?.channel() as? ClientSocketChannel ?: return
         if (!channel.isOpen) return
-        parts.trySend(if (channel.hasFailed()) ResponsePart.Broken(RESET) else ResponsePart.End)
+        parts.trySend(if (isEndProper(channel)) ResponsePart.End else ResponsePart.Broken(RESET))
         channel.close()
     }
 
+    /** With encryption, the server marks the end, and may then reset the connection because of our own mark. */
+    private fun isEndProper(channel: ClientSocketChannel): Boolean {
+        val tls = channel.pipeline().get(SslHandler::class.java) ?: return !channel.hasFailed()
+        return tls.sslCloseFuture().isSuccess
+    }
+
     private fun data(bytes: ByteArray) {
         bufferedBytes += bytes.size
         parts.trySend(ResponsePart.Data(bytes))
--- a/src/main/kotlin/org/persimmonrelay/http/StrictHttpEngine.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/StrictHttpEngine.kt
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.ssl.SslContext
 import io.netty.handler.ssl.SslContextBuilder
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
@@ -151,7 +152,8 @@
         /** The body of the response. Its connection is released when it ends, or when the call does. */
         private fun receiveBody(connection: HttpConnection, head: ResponsePart.Head): ByteReadChannel {
             val body = ByteChannel(autoFlush = true)
-            val receiving = thread.scope.launch {
+            // Started at once, so that the connection is released even if the call has ended already.
+            val receiving = thread.scope.launch(start = CoroutineStart.UNDISPATCHED) {
                 try {
                     val failure = copy(connection, head, body)
                     if (failure == null) body.flushAndClose() else body.cancel(IOException(failure))
--- a/src/test/kotlin/org/persimmonrelay/adapter/InvalidStoreResponseTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/adapter/InvalidStoreResponseTest.kt
@@ -90,11 +90,9 @@
 
     private fun <T> responding(
         response: String,
-        end: Socket.() -> Unit = {
-            close()
-        },
+        end: Socket.() -> Unit = { close() },
         call: suspend (ScriptedServer) -> T,
-    ) = ScriptedServer { _, socket ->
+    ): T = ScriptedServer { _, socket ->
         socket.writeText(response, Charsets.ISO_8859_1)
         socket.end()
     }.use { server -> onThread { call(server) } }
@@ -112,7 +110,8 @@
     private fun <T> onThread(block: suspend () -> T): T = runBlocking { withContext(thread.dispatcher) { block() } }
 
     private companion object {
-        const val PAGE = """{"rows":[{"table":"op","key":"config","value":"e30=","schema_version":1}],"schema_version":1}"""
+        const val PAGE =
+            """{"rows":[{"table":"op","key":"config","value":"e30=","schema_version":1}],"schema_version":1}"""
         const val TRIES = 10
         const val PAUSE_MILLIS = 20L
     }
--- a/src/test/kotlin/org/persimmonrelay/forward/EarlyResponseTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/EarlyResponseTest.kt
@@ -3,6 +3,8 @@
 import org.persimmonrelay.forward.ForwardFixture.Companion.RESET
 import org.persimmonrelay.forward.ForwardFixture.Companion.request
 import org.persimmonrelay.route.RouteKind
+import java.net.InetSocketAddress
+import java.net.ServerSocket
 import java.net.Socket
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -10,7 +12,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Servers that respond before they have read the request, whose body is far larger than the connection's buffers. */
+/** Servers that respond before they have read the request, whose body is large. */
 class EarlyResponseTest {
     private val streaming = RouteKind.Streaming(resumable = false, pauseTarget = 100.milliseconds)
     private val kinds = listOf(RouteKind.Idempotent, RouteKind.NonIdempotent, streaming)
@@ -90,24 +92,34 @@
 
     @Test
     fun `a server that ends its output and never reads the request does not hold the request past its deadline`() {
-        val silent = ScriptedServer(readsBody = false) { request, socket ->
+        val silent = ScriptedServer(readsBody = false, smallBuffer()) { request, socket ->
             socket.writeText(withoutLength(request.id, RouteKind.NonIdempotent))
             socket.shutdownOutput()
             Thread.sleep(10_000)
         }
+        val body = "x".repeat(OVER_ALL_BUFFERS_BYTES)
         ForwardFixture(
             RouteKind.NonIdempotent,
             listOf(silent),
             attempts = 1,
-            bodyLimit = BODY_BYTES,
+            bodyLimit = OVER_ALL_BUFFERS_BYTES,
             timeout = 1.seconds,
-        ).use { node -> assertTrue(node.exchange(request("r1", body = BODY)).startsWith("HTTP/1.1 504")) }
+        ).use { node -> assertTrue(node.exchange(request("r1", body = body)).startsWith("HTTP/1.1 504")) }
+    }
+
+    /** A listening socket whose connections take little that the server does not read. */
+    private fun smallBuffer() = ServerSocket().apply {
+        receiveBufferSize = PART_BYTES
+        bind(InetSocketAddress("127.0.0.1", 0))
     }
 
     private companion object {
         const val BODY_BYTES = 8 * 1024 * 1024
         const val PART_BYTES = 64 * 1024
         const val TRIES = 5
+
+        /** More than the node's kernel takes of a connection whose server does not read. */
+        const val OVER_ALL_BUFFERS_BYTES = 32 * 1024 * 1024
         val BODY = "x".repeat(4_000_000)
 
         fun withoutLength(id: String, kind: RouteKind): String {
--- a/src/test/kotlin/org/persimmonrelay/forward/InvalidResponseTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/InvalidResponseTest.kt
@@ -41,11 +41,12 @@
 
     @Test
     fun `an invalid head or trailer that arrives byte by byte is never passed on`() {
-        val forms =
+        val heads =
             listOf(plain("r00", "HTTP/1.1 000 OK"), withFieldFirst("r00", " X: 1"), plain("r00", OK, "A: 1", " B"))
-        val cutTrailers = listOf(chunked("r00", "X Bad: 1"), chunked("r00", "A: 1", " X: 1"))
+        val trailers = listOf(chunked("r00", "X Bad: 1"), chunked("r00", "A: 1", " X: 1"))
+        val all = heads + trailers
 
-        assertEquals(emptyList(), passedOn(RouteKind.NonIdempotent, forms + cutTrailers, isSlow = true) { _, it -> it })
+        assertEquals(emptyList(), passedOn(RouteKind.NonIdempotent, all, isSlow = true) { _, text -> text })
     }
 
     @Test
--- a/src/test/kotlin/org/persimmonrelay/http/StrictHttpEngineTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/http/StrictHttpEngineTest.kt
@@ -16,6 +16,7 @@
 import org.persimmonrelay.forward.LAST_CHUNK
 import org.persimmonrelay.forward.ScriptedServer
 import org.persimmonrelay.forward.chunk
+import org.persimmonrelay.forward.reset
 import org.persimmonrelay.forward.responseTo
 import org.persimmonrelay.forward.writeText
 import java.io.IOException
@@ -113,6 +114,32 @@
         server.close()
     }
 
+    @Test
+    fun `an encrypted response without a length is read whole`() {
+        val keys = keys()
+        val server = ScriptedServer(readsBody = true, tlsSocket(keys)) { _, socket ->
+            socket.writeText("HTTP/1.1 200 OK\r\n\r\nbody")
+            socket.close()
+        }
+        withClient({ trusting(keys) }) { http ->
+            assertEquals("body", http.get("https://localhost:${server.port}/").bodyAsText())
+        }
+        server.close()
+    }
+
+    @Test
+    fun `an encrypted response without a length that is reset is not read as whole`() {
+        val keys = keys()
+        val server = ScriptedServer(readsBody = true, tlsSocket(keys)) { _, socket ->
+            socket.writeText("HTTP/1.1 200 OK\r\n\r\nbody")
+            socket.reset()
+        }
+        withClient({ trusting(keys) }) { http ->
+            assertFailsWith<IOException> { http.get("https://localhost:${server.port}/").bodyAsText() }
+        }
+        server.close()
+    }
+
     private fun withClient(
         tls: () -> SslContext = { SslContextBuilder.forClient().build() },
         block: suspend (HttpClient) -> Unit,
