Let a stand-in server refuse connections as soon as it has ended

Cause: ServerSocket.close returns while the system still accepts connections for the thread that waits in accept. The node asks an ended server for a new connection once; if that is opened, the server has not ended.

Change: ScriptedServer waits for that thread before it closes its connections, as a process that ends refuses and closes at once. No check has changed.

--- a/src/test/kotlin/org/persimmonrelay/forward/ScriptedServer.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/ScriptedServer.kt
@@ -38,9 +38,7 @@
 
     constructor(script: (RecordedRequest, Socket) -> Unit) : this(readsBody = true, script = script)
 
-    init {
-        thread(isDaemon = true) { accept() }
-    }
+    private val accepting = thread(isDaemon = true) { accept() }
 
     private fun accept() {
         while (!listening.isClosed) {
@@ -72,10 +70,14 @@
     }
 
     /** Refuses new connections; open ones stay open. */
-    fun stopListening() = listening.close()
+    fun stopListening() {
+        listening.close()
+        // The system accepts connections until the thread has noticed.
+        accepting.join()
+    }
 
     override fun close() {
-        listening.close()
+        stopListening()
         open.forEach { it.close() }
     }
 }
