--- a/src/main/kotlin/org/persimmonrelay/http/ResponseHandler.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/ResponseHandler.kt
@@ -159,6 +159,7 @@
         channel.close()
     }
 
+    /** Encrypted data that ends without a mark was cut off. */
     private fun isEndProper(channel: ClientSocketChannel): Boolean {
         val isEncrypted = channel.pipeline().get(SslHandler::class.java) != null
         return !isEncrypted && !channel.hasFailed()
