--- /dev/null
+++ b/review/standin-2/Record.java
@@ -0,0 +1,33 @@
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** Writes what was sent, answered and run to record.txt in the folder of the case, with the time in ms. */
+final class Record implements AutoCloseable {
+    private final PrintWriter out;
+    private final long start = System.nanoTime();
+
+    Record(String folder) throws IOException {
+        out = new PrintWriter(Files.newBufferedWriter(Path.of(folder, "record.txt")), true);
+    }
+
+    synchronized void line(String text) {
+        out.println(millis() + " " + text);
+        if (System.getenv("ECHO") != null) System.err.println(millis() + " " + text);
+    }
+
+    long millis() {
+        return (System.nanoTime() - start) / 1_000_000;
+    }
+
+    /** False with TROUBLE=0: the same without the disruption. */
+    static boolean isTrouble() {
+        return !"0".equals(System.getenv("TROUBLE"));
+    }
+
+    @Override
+    public void close() {
+        out.close();
+    }
+}
