--- a/review/standin-2/LeavingServer.java
+++ b/review/standin-2/LeavingServer.java
@@ -40,7 +40,8 @@
             Thread.sleep(4_000);
             silent = Record.isTrouble();
             record.line("the store is silent: " + silent);
-            Thread.sleep(500);
+            // Polls that the store had before the silence have ended by then.
+            Thread.sleep(2_200);
             leavesAt = record.millis();
             leaving.drain();
             record.line("i-yard0 leaves, and says so in the store and in its answers");
