--- a/review/standin-2/Store.java
+++ b/review/standin-2/Store.java
@@ -197,8 +197,16 @@
         return json;
     }
 
-    @SuppressWarnings("unchecked")
     private void transaction(Map<String, Object> call, Listener.Connection connection) throws IOException {
+        List<Object> conflicting = perform(call);
+        Map<String, Object> body = new LinkedHashMap<>();
+        if (conflicting != null) body.put("rows", conflicting);
+        answer(connection, conflicting == null ? 200 : 412, body);
+    }
+
+    /** Does what a transaction asks for; null when it was done, else the current rows of its conditions. */
+    @SuppressWarnings("unchecked")
+    List<Object> perform(Map<String, Object> call) {
         List<Object> current = new ArrayList<>();
         boolean holds = true;
         synchronized (this) {
@@ -215,9 +223,7 @@
                 apply(changes);
             }
         }
-        Map<String, Object> body = new LinkedHashMap<>();
-        if (!holds) body.put("rows", current);
-        answer(connection, holds ? 200 : 412, body);
+        return holds ? null : current;
     }
 
     private static Row row(Map<String, Object> entry) {
