--- a/review/standin-2/BrokenError.java
+++ b/review/standin-2/BrokenError.java
@@ -23,12 +23,8 @@
         this.record = record;
     }
 
-    public static void main(String[] args) throws Exception {
-        int code;
-        try (Record record = new Record(args[0])) {
-            code = new BrokenError(record).run();
-        }
-        System.exit(code);
+    public static void main(String[] args) {
+        Record.run(args[0], record -> new BrokenError(record).run());
     }
 
     private int run() throws Exception {
--- a/review/standin-2/LeavingServer.java
+++ b/review/standin-2/LeavingServer.java
@@ -21,12 +21,8 @@
         this.record = record;
     }
 
-    public static void main(String[] args) throws Exception {
-        int code;
-        try (Record record = new Record(args[0])) {
-            code = new LeavingServer(record).run();
-        }
-        System.exit(code);
+    public static void main(String[] args) {
+        Record.run(args[0], record -> new LeavingServer(record).run());
     }
 
     private int run() throws Exception {
--- a/review/standin-2/LostProgress.java
+++ b/review/standin-2/LostProgress.java
@@ -23,12 +23,8 @@
         this.record = record;
     }
 
-    public static void main(String[] args) throws Exception {
-        int code;
-        try (Record record = new Record(args[0])) {
-            code = new LostProgress(record).run();
-        }
-        System.exit(code);
+    public static void main(String[] args) {
+        Record.run(args[0], record -> new LostProgress(record).run());
     }
 
     private int run() throws Exception {
--- a/review/standin-2/SilentNode.java
+++ b/review/standin-2/SilentNode.java
@@ -41,12 +41,8 @@
         this.record = record;
     }
 
-    public static void main(String[] args) throws Exception {
-        int code;
-        try (Record record = new Record(args[0])) {
-            code = new SilentNode(record).run();
-        }
-        System.exit(code);
+    public static void main(String[] args) {
+        Record.run(args[0], record -> new SilentNode(record).run());
     }
 
     private int run() throws Exception {
--- a/review/standin-2/UsageAfterDrill.java
+++ b/review/standin-2/UsageAfterDrill.java
@@ -11,23 +11,23 @@
  */
 final class UsageAfterDrill {
     private static final long WINDOW = 5_000;
-    private static final long AWAY = 100;
+    private static final long AWAY = 30;
+
+    /** The holder of the duty renews its lease, and looks for windows to close, about as often. */
+    private static final long PERIOD = 1_010;
     private final Record record;
     private final Store store = new Store();
     private volatile boolean away;
     private volatile long closingAt;
+    private volatile long renewedAt;
     private volatile boolean stop;
 
     private UsageAfterDrill(Record record) throws Exception {
         this.record = record;
     }
 
-    public static void main(String[] args) throws Exception {
-        int code;
-        try (Record record = new Record(args[0])) {
-            code = new UsageAfterDrill(record).run();
-        }
-        System.exit(code);
+    public static void main(String[] args) {
+        Record.run(args[0], record -> new UsageAfterDrill(record).run());
     }
 
     private int run() throws Exception {
@@ -46,7 +46,7 @@
             record.line("copy of the store, 900 ms before window " + (end / WINDOW - 1) + " ends");
             // The window is closed about 1.6 s after its end, and the next one five seconds later.
             sleepUntil(end + 4_500);
-            sleepUntil(closingAt + WINDOW - 120 - AWAY);
+            awaitDrillTime();
             if (Record.isTrouble()) drill(copy);
             sleepUntil(end + 2 * WINDOW + 9_000);
             stop = true;
@@ -54,6 +54,21 @@
         }
     }
 
+    /** Waits until shortly before the next window is closed, and until the last renewal of the lease before that. */
+    private void awaitDrillTime() throws InterruptedException {
+        long closes = closingAt + WINDOW - 20;
+        sleepUntil(closes - 400);
+        long renewed = renewedAt;
+        long renews = renewed;
+        while (renews < System.currentTimeMillis()) renews += PERIOD;
+        if (renews > closes) {
+            sleepUntil(closes - 150 - AWAY);
+        } else {
+            while (renewedAt == renewed && System.currentTimeMillis() < closes) Thread.sleep(1);
+            Thread.sleep(10);
+        }
+    }
+
     private void drill(Store.Copy copy) throws Exception {
         away = true;
         Thread.sleep(AWAY);
@@ -70,6 +85,9 @@
         if (call.target().startsWith("/api/rows-tx") && call.text().contains("usage/window/")) {
             closingAt = System.currentTimeMillis();
         }
+        if (call.target().startsWith("/api/rows-tx") && call.text().contains("\"beat/usage-0\"")) {
+            renewedAt = System.currentTimeMillis();
+        }
         if (!away) return true;
         connection.respond(503, "", new byte[0]);
         return false;
