--- a/review/standin-2/LeavingServer.java
+++ b/review/standin-2/LeavingServer.java
@@ -8,12 +8,13 @@
 final class LeavingServer {
     private static final long DRAIN = 2_500;
     private static final long SERVES_ON = 4_500;
+    private static final long NEVER = Long.MAX_VALUE / 2;
     private final Record record;
     private final Store store = new Store();
     private final List<String> late = new ArrayList<>();
     private volatile boolean silent;
-    private volatile long toldAt = Long.MAX_VALUE;
-    private volatile long leavesAt = Long.MAX_VALUE;
+    private volatile long toldAt = NEVER;
+    private volatile long leavesAt = NEVER;
     private volatile boolean ended;
     private volatile int lost;
 
@@ -87,7 +88,7 @@
     }
 
     private synchronized void told(String id) {
-        if (toldAt != Long.MAX_VALUE) return;
+        if (toldAt != NEVER) return;
         toldAt = record.millis();
         record.line("the node has passed on an answer with Server-Leaving to " + id);
     }
