--- a/review/standin-2/UsageAfterDrill.java
+++ b/review/standin-2/UsageAfterDrill.java
@@ -1,4 +1,5 @@
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -14,20 +15,51 @@
     private static final long AWAY = 30;
 
     /** The holder of the duty renews its lease, and looks for windows to close, about as often. */
-    private static final long PERIOD = 1_010;
+    private static final long PERIOD = 1_000;
+
+    /** They differ in how the renewals of the lease lie against the closing of windows. */
+    private static final int DEPLOYMENTS = 3;
     private final Record record;
+    private final String name;
     private final Store store = new Store();
     private volatile boolean away;
     private volatile long closingAt;
     private volatile long renewedAt;
     private volatile boolean stop;
+    private volatile boolean drilled;
 
-    private UsageAfterDrill(Record record) throws Exception {
+    private UsageAfterDrill(Record record, String name) throws Exception {
         this.record = record;
+        this.name = name;
     }
 
     public static void main(String[] args) {
-        Record.run(args[0], record -> new UsageAfterDrill(record).run());
+        Record.run(args[0], UsageAfterDrill::runAll);
+    }
+
+    /** 1 if the rule was broken in one of the deployments, 2 if one of them could not be judged. */
+    private static int runAll(Record record) throws Exception {
+        List<Integer> results = Collections.synchronizedList(new ArrayList<>());
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < DEPLOYMENTS; i++) {
+            UsageAfterDrill deployment = new UsageAfterDrill(record, "deployment " + i + ": ");
+            Thread thread = new Thread(() -> results.add(deployment.runOrFail()));
+            threads.add(thread);
+            thread.start();
+            Thread.sleep(PERIOD / DEPLOYMENTS);
+        }
+        for (Thread thread : threads) thread.join();
+        if (results.contains(1)) return 1;
+        return results.contains(2) ? 2 : 0;
+    }
+
+    private int runOrFail() {
+        try {
+            return run();
+        } catch (Exception e) {
+            line("could not run: " + e);
+            return 2;
+        }
     }
 
     private int run() throws Exception {
@@ -40,41 +72,44 @@
             for (int i = 1; i <= 2; i++) clients.add(deployment.start("front-puget-a-" + i).client());
             for (int i = 0; i < 4; i++) load(clients.get(i % 2), i);
             Thread.sleep(6_000);
-            long end = (System.currentTimeMillis() / WINDOW + 3) * WINDOW;
+            long end = (System.currentTimeMillis() / WINDOW + 2) * WINDOW;
             sleepUntil(end - 900);
             Store.Copy copy = store.copy();
-            record.line("copy of the store, 900 ms before window " + (end / WINDOW - 1) + " ends");
-            // The window is closed about 1.6 s after its end, and the next one five seconds later.
-            sleepUntil(end + 4_500);
+            line("copy of the store, 900 ms before window " + (end / WINDOW - 1) + " ends");
+            // The window is closed one to three seconds after its end, and the next one five seconds later.
+            sleepUntil(end + 4_000);
             awaitDrillTime();
             if (Record.isTrouble()) drill(copy);
-            sleepUntil(end + 2 * WINDOW + 9_000);
+            sleepUntil(end + 2 * WINDOW + 6_000);
             stop = true;
             return judge();
         }
     }
 
-    /** Waits until shortly before the next window is closed, and until the last renewal of the lease before that. */
+    /** Waits for a renewal of the lease in the last second before the next window is closed. */
     private void awaitDrillTime() throws InterruptedException {
-        long closes = closingAt + WINDOW - 20;
-        sleepUntil(closes - 400);
+        long closes = closingAt + WINDOW;
+        sleepUntil(closes - PERIOD);
         long renewed = renewedAt;
-        long renews = renewed;
-        while (renews < System.currentTimeMillis()) renews += PERIOD;
-        if (renews > closes) {
-            sleepUntil(closes - 150 - AWAY);
-        } else {
-            while (renewedAt == renewed && System.currentTimeMillis() < closes) Thread.sleep(1);
-            Thread.sleep(10);
-        }
+        while (renewedAt == renewed && System.currentTimeMillis() < closes - 50) Thread.sleep(1);
     }
 
     private void drill(Store.Copy copy) throws Exception {
+        long now = System.currentTimeMillis();
+        line("the lease was renewed " + (now - renewedAt) + " ms ago; the next window closes in about "
+            + (closingAt + WINDOW - now) + " ms");
+        // The renewal is answered first.
+        Thread.sleep(5);
         away = true;
         Thread.sleep(AWAY);
         store.restore(copy);
+        drilled = true;
         away = false;
-        record.line("the store is back from the copy after " + AWAY + " ms");
+        line("the store is back from the copy after " + AWAY + " ms");
+    }
+
+    private void line(String text) {
+        record.line(name + text);
     }
 
     private static void sleepUntil(long wallMillis) throws InterruptedException {
@@ -84,9 +119,11 @@
     private boolean admit(Http.Message call, Listener.Connection connection) throws Exception {
         if (call.target().startsWith("/api/rows-tx") && call.text().contains("usage/window/")) {
             closingAt = System.currentTimeMillis();
+            if (drilled) line("a window is closed");
         }
         if (call.target().startsWith("/api/rows-tx") && call.text().contains("\"beat/usage-0\"")) {
             renewedAt = System.currentTimeMillis();
+            if (drilled) line("the lease is renewed");
         }
         if (!away) return true;
         connection.respond(503, "", new byte[0]);
@@ -102,7 +139,7 @@
             for (int i = 0; !stop; i++) {
                 String id = "look-" + number + "-" + i;
                 Client.Result result = client.send("GET", "/look/x", id, "Deadline-Ms: 3000\r\n", new byte[0], 3_000);
-                if (!result.isServed()) record.line(id + " answered " + result.status());
+                if (!result.isServed()) line(id + " answered " + result.status());
                 try {
                     Thread.sleep(50);
                 } catch (InterruptedException e) {
@@ -116,7 +153,7 @@
         Map<Long, Set<String>> reports = new HashMap<>();
         synchronized (store.dutyCalls) {
             for (Store.DutyCall call : store.dutyCalls) {
-                record.line("report by " + call.holder() + " with token " + call.token() + ": " + call.body());
+                line("report by " + call.holder() + " with token " + call.token() + ": " + call.body());
                 Map<String, Object> body = Json.readObject(call.body());
                 reports.computeIfAbsent((Long) body.get("window"), it -> new HashSet<>())
                     .add(Json.write(body.get("counts")));
@@ -125,11 +162,11 @@
         boolean broken = false;
         for (Map.Entry<Long, Set<String>> report : reports.entrySet()) {
             if (report.getValue().size() < 2) continue;
-            record.line("window " + report.getKey() + " was reported with different counts: " + report.getValue());
+            line("window " + report.getKey() + " was reported with different counts: " + report.getValue());
             broken = true;
         }
         if (reports.size() < 3) {
-            record.line("only " + reports.size() + " windows were reported");
+            line("only " + reports.size() + " windows were reported");
             return broken ? 1 : 2;
         }
         return broken ? 1 : 0;
