--- a/review/standin-2/Deployment.java
+++ b/review/standin-2/Deployment.java
@@ -55,7 +55,8 @@
         Node node = new Node(name, builder.start(), front, readiness, log);
         nodes.add(node);
         long end = System.nanoTime() + 20_000_000_000L;
-        while (!isReady(node)) {
+        // Another process may have taken the port meanwhile, so the node has to say it, too.
+        while (!isReady(node) || !Files.readString(log).contains("NODE_READY")) {
             if (System.nanoTime() > end) throw new IOException("Node " + name + " is not ready: " + log);
             Thread.sleep(50);
         }
