A server that says in its responses that it leaves gets no further requests

Cause: the header was not read; the node learned of a leaving server from its entry alone.

Change: the header is decoded at the boundary; ServerNotices decides whether a response is believed (a head with a request id, not 421; a valid cache report), and BackendDirectory holds that run of the server as draining for good, which a later entry, a restore or a lapse does not undo. The directory's functions are synchronized, so that the list is published without the server before its response is passed on. Event 2607 and a counter tell of it.

--- a/src/main/kotlin/org/persimmonrelay/backend/BackendDirectory.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/BackendDirectory.kt
@@ -28,12 +28,13 @@
 }
 
 /**
- * Maintains the list of backend servers. Runs on the control thread; the traffic thread reads [view].
+ * Maintains the list of backend servers. The control thread follows the store. The traffic thread reads [view] and
+ * tells which servers have said that they leave.
  *
  * An entry that disappears while the store is unavailable may have lapsed only because its server could not renew it.
  * Such a server stays in use until [LAPSE_GRACE] after the store has recovered. The same holds for an entry that a
  * store restored from an older copy has lost; and an entry that it has again does not bring back a server that has
- * left.
+ * left. No entry brings back a run of a server that has said in a response that it leaves.
  */
 public class BackendDirectory(private val events: EventSink) {
     private val listed = HashMap<ServerId, BackendServer>()
@@ -55,18 +56,21 @@
         private set
 
     /** The store is available again since [now], after an outage long enough for entries to lapse. */
+    @Synchronized
     public fun storeRecovered(now: Moment) {
         storeRecoveredAt = now
         lapsed.replaceAll { _, entry -> entry.copy(until = now + LAPSE_GRACE) }
     }
 
     /** The list read at [now] is the first since the store was restored from an older copy. */
+    @Synchronized
     public fun storeRestored(now: Moment) {
         departed.storeRestored(now)
         storeRecovered(now)
     }
 
     /** Replaces the list by [servers], the complete result of one read of the store. */
+    @Synchronized
     public fun replaceAll(servers: List<BackendServer>, storeUnavailable: Boolean, now: Moment) {
         val present = servers.associateBy { it.instance.id }
         listed.keys.filter { it !in present }.forEach { dropEntry(it, storeUnavailable, now) }
@@ -79,12 +83,14 @@
     }
 
     /** The entry of [server] was written to the store. */
+    @Synchronized
     public fun changed(server: BackendServer) {
         put(server)
         publish()
     }
 
     /** The entry of [id] was removed or is no longer valid. */
+    @Synchronized
     public fun removed(id: ServerId, storeUnavailable: Boolean, now: Moment) {
         dropEntry(id, storeUnavailable, now)
         publish()
@@ -94,6 +100,7 @@
      * Drops lapsed servers that were not listed again in time, and uses servers that are listed long after they seemed
      * to have gone; does nothing while the store is unavailable.
      */
+    @Synchronized
     public fun expireLapsed(storeUnavailable: Boolean, now: Moment) {
         if (storeUnavailable) return
         outdated.values.filterNot { departed.mayBeGone(it.instance, now) }.forEach(::changed)
@@ -104,6 +111,24 @@
         publish()
     }
 
+    /**
+     * [instance] has said in a response that it leaves, so it gets no new requests. True if that was not known before.
+     * May be called on any thread.
+     */
+    @Synchronized
+    public fun leavingHeard(instance: ServerInstance): Boolean {
+        if (departed.isDraining(instance)) return false
+        departed.recordDraining(instance)
+        events.record(
+            BackendEvent.SERVER_LEAVING_HEARD,
+            "server" with instance.id,
+            "started" with instance.startedAtMillis,
+            "listed" with (listed[instance.id]?.instance == instance),
+        )
+        publish()
+        return true
+    }
+
     private fun put(server: BackendServer) {
         lapsed.remove(server.instance.id)
         outdated.remove(server.instance.id)
--- a/src/main/kotlin/org/persimmonrelay/backend/BackendEvent.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/BackendEvent.kt
@@ -11,4 +11,8 @@
     SERVER_TRUSTED(2604, "A suspected backend server responds again."),
     LIMIT_NAMED(2605, "A backend server limits the requests a second that it takes from all nodes together."),
     LIMIT_LIFTED(2606, "A backend server no longer limits its requests."),
+    SERVER_LEAVING_HEARD(
+        2607,
+        "A backend server said in a response that it leaves; it gets no new requests, whatever its entry says.",
+    ),
 }
--- a/src/main/kotlin/org/persimmonrelay/backend/DepartedServers.kt
+++ b/src/main/kotlin/org/persimmonrelay/backend/DepartedServers.kt
@@ -6,7 +6,7 @@
 
 /**
  * The runs of servers that this node has seen leave. A store that was restored from an older copy lists them as they
- * were before, until they or the store write their entries again. Confined to the control thread.
+ * were before, until they or the store write their entries again. Guarded by its [BackendDirectory].
  */
 internal class DepartedServers {
     private val draining = BoundedSet()
@@ -22,6 +22,7 @@
         restoredAt = now
     }
 
+    /** The server has said that it leaves, in its entry or in a response. */
     fun recordDraining(instance: ServerInstance) {
         draining[instance] = Unit
     }
--- a/src/main/kotlin/org/persimmonrelay/forward/EngineReportPoller.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/EngineReportPoller.kt
@@ -19,14 +19,15 @@
 internal data class PolledEngine(val server: BackendServer, val spec: EngineSpec)
 
 /**
- * Polls engines for reports of their prompt caches and passes these to [chooser]. Runs one coroutine for each engine.
- * Confined to the traffic thread.
+ * Polls engines for reports of their prompt caches and passes these to [chooser], and what else the engines say to
+ * [notices]. Runs one coroutine for each engine. Confined to the traffic thread.
  */
 internal class EngineReportPoller(
     private val scope: CoroutineScope,
     private val client: ServerClient,
     private val protocol: EngineReportProtocol,
     private val chooser: ServerChooser,
+    private val notices: ServerNotices,
     private val clock: Clock,
     private val events: EventSink,
 ) {
@@ -66,6 +67,7 @@
                     recordLost(response)
                     delay(RETRY_DELAY)
                 } else {
+                    notices.reported(server, response.fields)
                     apply(changes)
                     delay(maxOf(MIN_POLL_DELAY, POLL_DELAY_PER_ENGINE * pollers.size))
                 }
--- a/src/main/kotlin/org/persimmonrelay/forward/ForwardMetrics.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ForwardMetrics.kt
@@ -31,6 +31,9 @@
     /** An attempt was ended because another one goes on; [isOverdue] if its response was overdue. */
     internal fun attemptReplaced(isOverdue: Boolean) = attemptEnded("replaced", isOverdue)
 
+    /** A backend server has said in a response that it leaves. */
+    internal fun serverLeavingHeard() = registry.counter("persimmonrelay.forward.servers.leaving").increment()
+
     private fun attemptEnded(end: String, isOverdue: Boolean) =
         registry.counter("persimmonrelay.forward.attempts", "end", end, "overdue", "$isOverdue").increment()
 
--- a/src/main/kotlin/org/persimmonrelay/forward/ForwardServer.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ForwardServer.kt
@@ -35,7 +35,10 @@
     public val requestLimits: ServerRequestLimits =
         ServerRequestLimits(dependencies.settings.node, dependencies.limits::limitSharers, dependencies.events)
     private val nearbyServers = NearbyServers(dependencies.settings.node, dependencies.place)
-    private val client = ServerClient(pools, dependencies.clock)
+    private val forwardMetrics = ForwardMetrics(dependencies.registry)
+    private val notices =
+        ServerNotices(dependencies.directory, requestLimits, forwardMetrics, dependencies.clock)
+    private val client = ServerClient(pools, dependencies.headerCodec, dependencies.clock)
     private val handleReleaser = KvHandleReleaser(thread.scope, client, dependencies.headerCodec, dependencies.events)
     private val reportPoller =
         EngineReportPoller(
@@ -43,11 +46,12 @@
             client,
             dependencies.engineReports,
             chooser,
+            notices,
             dependencies.clock,
             dependencies.events,
         )
     private val demandLog = DemandLog(dependencies.events)
-    private val log = RequestLog(dependencies.events, ForwardMetrics(dependencies.registry))
+    private val log = RequestLog(dependencies.events, forwardMetrics)
     private val errorResponses = ForwardErrorResponses(dependencies.headerCodec, log::unreadable)
     private val forwarder = forwarder()
     private val callers = server(dependencies.settings.callers, forwarder)
@@ -135,6 +139,7 @@
                 dependencies.directory,
                 pools,
                 requestLimits,
+                notices,
                 dependencies.clock,
                 ForwardSettings(),
             )
--- a/src/main/kotlin/org/persimmonrelay/forward/HeaderCodec.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/HeaderCodec.kt
@@ -60,13 +60,14 @@
 /**
  * Fields of a server's response headers. [hasServerProof] is true when they carry the server's stamp, which shows that
  * the server itself produced the response. [requestsPerSecond] is the limit that the server names for the requests of
- * all nodes together; null when it names none.
+ * all nodes together; null when it names none. [isLeaving] is true when the server says that it is about to shut down.
  */
 public data class ServerResponseFields(
     val requestId: String?,
     val notExecuted: Boolean,
     val hasServerProof: Boolean,
     val requestsPerSecond: Double? = null,
+    val isLeaving: Boolean = false,
 )
 
 /** Parses and builds the headers of callers and servers. */
--- a/src/main/kotlin/org/persimmonrelay/forward/ServerAttempt.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ServerAttempt.kt
@@ -18,6 +18,7 @@
     val directory: BackendDirectory,
     val connectionPools: ServerConnectionPools,
     val requestLimits: ServerRequestLimits,
+    val notices: ServerNotices,
     val clock: Clock,
     val settings: ForwardSettings,
 )
@@ -119,7 +120,7 @@
         if (head is ResponsePart.Broken) return serverMayHaveEnded(inFlight, "connection failed: ${head.reason}")
         head as ResponsePart.Head
         val fields = dependencies.headerCodec.parseResponse(head.headers)
-        if (fields.requestId != null) recordLimit(fields, sentAt)
+        if (fields.requestId != null) dependencies.notices.responded(server, fields, sentAt)
         val reader = ResponseReader(connection, head, dependencies.clock)
         return when {
             // It may belong to an earlier request, so it tells nothing about this one.
@@ -140,12 +141,6 @@
     private fun delivery(inFlight: InFlightRequest, sentAt: Moment) =
         ResponseDelivery(dependencies, request, progress, inFlight, sentAt, deadline, listener)
 
-    private fun recordLimit(fields: ServerResponseFields, sentAt: Moment) {
-        val now = dependencies.clock.wallMillis()
-        val sentAtMillis = now - (dependencies.clock.now() - sentAt).inWholeMilliseconds
-        dependencies.requestLimits.responded(server.instance, fields.requestsPerSecond, sentAtMillis, now)
-    }
-
     private suspend fun finishPrefill(
         reader: ResponseReader,
         inFlight: InFlightRequest,
@@ -174,7 +169,9 @@
             if (part is ResponsePart.Data) skippedBytes += part.bytes.size
             if (skippedBytes > MAX_SKIPPED_BYTES) return ResponsePart.Broken("The server sent too many other bytes.")
             if (part !is ResponsePart.Head) continue
-            val id = dependencies.headerCodec.parseResponse(part.headers).requestId
+            val fields = dependencies.headerCodec.parseResponse(part.headers)
+            dependencies.notices.headArrived(server, part.status, fields)
+            val id = fields.requestId
             if (id == request.attributes.id || id == null && part.status >= FIRST_ERROR_STATUS) return part
         }
     }
@@ -191,7 +188,6 @@
 
     private companion object {
         const val OK = 200
-        const val MISDIRECTED = 421
         const val FIRST_ERROR_STATUS = 400
         const val MAX_SKIPPED_BYTES = 1024 * 1024
     }
--- a/src/main/kotlin/org/persimmonrelay/forward/ServerClient.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ServerClient.kt
@@ -8,7 +8,7 @@
 import kotlin.time.Duration
 
 /** Complete response of a server to a call that this node makes itself. */
-internal class ServerResponse(val status: Int, val body: ByteArray) {
+internal class ServerResponse(val status: Int, val fields: ServerResponseFields, val body: ByteArray) {
     val isOk: Boolean
         get() = status == OK
 
@@ -18,7 +18,11 @@
 }
 
 /** Makes this node's own calls to backend servers, apart from callers' requests. Confined to the traffic thread. */
-internal class ServerClient(private val pools: ServerConnectionPools, private val clock: Clock) {
+internal class ServerClient(
+    private val pools: ServerConnectionPools,
+    private val headerCodec: HeaderCodec,
+    private val clock: Clock,
+) {
     /** Sends [request] to [server]; null when no complete response arrives within [timeout]. */
     suspend fun call(server: BackendServer, request: OutgoingRequest, timeout: Duration): ServerResponse? =
         withTimeoutOrNull(timeout) { exchange(server, request, timeout) }
@@ -31,7 +35,7 @@
             val head = connection.receive() as? ResponsePart.Head ?: return null
             val body =
                 ResponseReader(connection, head, clock).readBody(MAX_BODY_BYTES) as? BodyReadResult.Complete
-            return body?.let { ServerResponse(head.status, it.bytes) }
+            return body?.let { ServerResponse(head.status, headerCodec.parseResponse(head.headers), it.bytes) }
         } finally {
             if (!connection.isReusable(clock.now())) connection.close()
             pool.release(connection, clock.now())
--- a/src/test/kotlin/org/persimmonrelay/backend/BackendDirectoryTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/backend/BackendDirectoryTest.kt
@@ -5,6 +5,7 @@
 import org.persimmonrelay.clock.Moment
 import org.persimmonrelay.platform.StoreHealth
 import org.persimmonrelay.timeline.EventSink
+import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -76,6 +77,53 @@
         assertTrue(a.instance in directory.view)
     }
 
+    // Guards against requests to a server that has said in its answers that it leaves (DRAIN).
+    @Test
+    fun `a server that was heard to leave gets no new requests, whatever the store says later`() {
+        directory.replaceAll(listOf(a, server("b")), storeUnavailable = false, now = Moment.ZERO)
+        assertTrue(directory.leavingHeard(a.instance))
+        assertFalse(directory.leavingHeard(a.instance))
+        assertFalse(a.instance in directory.view)
+
+        directory.changed(a)
+        assertFalse(a.instance in directory.view)
+        directory.storeRestored(Moment.ZERO + 1.seconds)
+        directory.replaceAll(listOf(a, server("b")), storeUnavailable = false, now = Moment.ZERO + 1.seconds)
+        assertFalse(a.instance in directory.view)
+        directory.removed(a.instance.id, storeUnavailable = true, now = Moment.ZERO + 2.seconds)
+        directory.expireLapsed(storeUnavailable = true, now = Moment.ZERO + 2.seconds)
+        assertEquals(listOf("b"), directory.view.of(ENGINES).map { it.instance.id.value })
+    }
+
+    @Test
+    fun `a server that is heard to leave before it is listed gets no requests, a new run of it does`() {
+        directory.leavingHeard(a.instance)
+        directory.changed(a)
+        assertFalse(a.instance in directory.view)
+
+        val restarted = a.copy(instance = a.instance.copy(startedAtMillis = 2))
+        directory.changed(restarted)
+
+        assertTrue(restarted.instance in directory.view)
+    }
+
+    // The list is replaced on one thread while another hears that servers leave.
+    @Test
+    fun `no server that was heard to leave is in a view that is published meanwhile`() {
+        listOf(3, 100, 300).forEach { size ->
+            val servers = List(size) { server("s$it") }
+            directory.replaceAll(servers, storeUnavailable = false, now = Moment.ZERO)
+            val following = thread { repeat(200) { directory.replaceAll(servers, false, Moment.ZERO) } }
+            servers.drop(1).forEach {
+                directory.leavingHeard(it.instance)
+                assertFalse(it.instance in directory.view)
+            }
+            following.join()
+
+            assertEquals(listOf("s0"), directory.view.of(ENGINES).map { it.instance.id.value })
+        }
+    }
+
     /**
      * Guards against requests to a server that left before the store was restored, and was listed again by the copy.
      */
--- a/src/test/kotlin/org/persimmonrelay/forward/ForwardFixture.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/ForwardFixture.kt
@@ -49,7 +49,7 @@
 class ForwardFixture(
     kind: RouteKind,
     private val servers: List<ScriptedServer>,
-    stages: List<EngineStage?> = servers.map { null },
+    private val stages: List<EngineStage?> = servers.map { null },
     timeout: Duration = 3.seconds,
     attempts: Int = 2,
     bodyLimit: Int = 4_096,
@@ -58,7 +58,7 @@
     private val thread = EventLoopThread("test-traffic")
     private val recorded = CopyOnWriteArrayList<Pair<EventCode, List<EventField>>>()
     val usage = CopyOnWriteArrayList<WorkspaceId>()
-    val directory = BackendDirectory { _, _ -> }
+    val directory = BackendDirectory { code, fields -> recorded += code to fields.toList() }
     private val tables = ActiveRouteTable { _, _ -> }
     private val anyPort = ListenSettings("127.0.0.1", 0)
     private val server =
@@ -139,6 +139,13 @@
             address = ServerAddress("127.0.0.1", server.port),
         )
 
+    /** [server] announces itself as ready, as the run that began at [startedAtMillis]. */
+    fun announce(server: ScriptedServer, startedAtMillis: Long = 1) {
+        val index = servers.indexOf(server)
+        val entry = backend(index, server, stages[index])
+        directory.changed(entry.copy(instance = entry.instance.copy(startedAtMillis = startedAtMillis)))
+    }
+
     /** The entry of [leaving] is removed from the list of servers. */
     fun leave(leaving: ScriptedServer) =
         directory.removed(ServerId("s${servers.indexOf(leaving)}"), storeUnavailable = false, Moment.ZERO)
