An attempt that waits for another never blocks the traffic thread

Cause: awaitRunPermit looped over the attempts whose end was not handled yet and joined one that had ended, which returns at once; the handling needs the thread on which the loop runs.

Change: only attempts under way are waited for, and only they count as runs and sends beside those in the history, which held ended ones twice. A wait is thus for a job that has not ended, and suspends. Hedging is as before.

--- a/src/main/kotlin/org/persimmonrelay/cli/RelayCommand.kt
+++ b/src/main/kotlin/org/persimmonrelay/cli/RelayCommand.kt
@@ -37,7 +37,7 @@
         }
         Signal.handle(Signal("HUP")) { node.reload() }
         node.start()
-        ShutdownSignal.await(node::stop)
+        ShutdownSignal.await({ node.grace }, node::stop)
         return ExitCode.OK
     }
 
--- a/src/main/kotlin/org/persimmonrelay/forward/RequestExecution.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/RequestExecution.kt
@@ -32,7 +32,7 @@
     private val runner =
         AttemptRunner(dependencies, attemptDependencies, request, placement, history, failures, trace, this)
 
-    /** The attempts under way, in the order of their start. */
+    /** The attempts whose end was not handled yet, in the order of their start. */
     private val running = ArrayList<RunningAttempt>()
     private val hedgePacing = HedgePacing()
 
@@ -111,7 +111,7 @@
         val due = newest.nextPart.dueAt(now)
         if (due == null || due > now) return
         hedgePacing.tried(now)
-        if (!mayRunBeside(running)) return
+        if (!mayRunBeside(underWay())) return
         markOverdue(newest, now)
         if (!mayHedge() || dependencies.requestGuard.quarantined(request.profile) != null) return
         val chosen = placement.choose(now)
@@ -133,7 +133,10 @@
     private fun mayHedge(): Boolean =
         maySendAgain() && !isResponseCommitted() && dependencies.requestGuard.mayRetry(request.profile)
 
-    private fun maySendAgain() = history.sends + running.size < MAX_SENDS && usedServers().size < MAX_TRIED_SERVERS
+    /** The attempts that count as such; those that have ended are in [history]. */
+    private fun underWay() = running.filter { it.isUnderWay }
+
+    private fun maySendAgain() = history.sends + underWay().size < MAX_SENDS && usedServers().size < MAX_TRIED_SERVERS
 
     /** True if one more attempt may run the request beside [others] under way, after those that have ended. */
     private fun mayRunBeside(others: List<RunningAttempt>): Boolean {
@@ -143,9 +146,9 @@
 
     private fun mayRetry(outcome: AttemptOutcome): Boolean = when (outcome) {
         is AttemptOutcome.Delivered, is AttemptOutcome.Prefilled -> false
-        is AttemptOutcome.NotRun -> maySendAgain() && mayRunBeside(running)
+        is AttemptOutcome.NotRun -> maySendAgain() && mayRunBeside(underWay())
         is AttemptOutcome.Failed ->
-            mayRunBeside(running) &&
+            mayRunBeside(underWay()) &&
                 !isResponseCommitted() &&
                 (!outcome.serverMayHaveEnded || dependencies.requestGuard.mayRetry(request.profile))
     }
@@ -174,9 +177,10 @@
 
     override suspend fun awaitRunPermit(attempt: RunningAttempt): Boolean {
         while (true) {
-            val others = running.filter { it !== attempt }
+            val others = running.filter { it !== attempt && it.isUnderWay }
             if (mayRunBeside(others)) return true
-            val other = others.firstOrNull() ?: return false
+            // Suspends: to wait for an attempt that has ended would block the thread that handles its end.
+            val other = others.firstOrNull { it.mayRun } ?: return false
             other.outcome.join()
         }
     }
--- a/src/main/kotlin/org/persimmonrelay/forward/RunningAttempt.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/RunningAttempt.kt
@@ -30,6 +30,10 @@
     /** Ends with the outcome of the attempt. */
     lateinit var outcome: Deferred<AttemptOutcome>
 
+    /** False once the attempt has ended; its end may not have been handled yet. */
+    val isUnderWay: Boolean
+        get() = !outcome.isCompleted
+
     /** The present request to a server; null before the first. */
     var call: ServerCall? = null
 
