An error that broke off is not completed with another server's stream

Cause: any response that had begun on a route of streams was taken for a stream that can be resumed, though no event of it had been passed on.

Evidence: LongErrorTest "a long error that breaks off on a route of streams is not completed by another server" on the code before: 404 until the end of the connection, 300,000 bytes, then the second server's events. After: passes, with seven statuses, three framings and five lengths. "a long response of a sound server comes whole" held before and after.

Change: a response is committed once it has begun without an event.

--- a/src/main/kotlin/org/persimmonrelay/forward/RequestExecution.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/RequestExecution.kt
@@ -9,7 +9,6 @@
 import org.persimmonrelay.backend.Placement
 import org.persimmonrelay.backend.ServerInstance
 import org.persimmonrelay.clock.Moment
-import org.persimmonrelay.route.RouteKind
 import kotlin.time.Duration
 
 /**
@@ -154,10 +153,10 @@
     }
 
     /**
-     * True when part of a response that is not a stream was sent, so that the request can't be retried. A stream can be
+     * True when part of a response without events was sent, so that the request can't be retried. A stream can be
      * resumed after its last event.
      */
-    private fun isResponseCommitted() = request.exchange.isResponseStarted && request.route.kind !is RouteKind.Streaming
+    private fun isResponseCommitted() = request.exchange.isResponseStarted && runner.progress.forwardedEvents == 0
 
     private fun usedServers(): Set<ServerInstance> {
         val present = running.mapNotNull { it.call?.server?.instance }
