A long refusal is passed on only if it says that the request has not run

Cause: a response over the buffer was passed on without a look at its status; only the path for buffered ones had the check.

Evidence: LongErrorTest on the code before: 408 of 262,145 bytes until the end of the connection was passed on, one byte less was not, and a request that may run twice got such an answer in place of another server's. After: both tests pass with 408, 429 and 503, three framings and five lengths.

Change: such a response fails the attempt, as a shorter one does: another server is asked if it may be, the answer is 502 otherwise. Long responses with other statuses come whole as before.

--- a/src/main/kotlin/org/persimmonrelay/forward/ResponseDelivery.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ResponseDelivery.kt
@@ -67,6 +67,7 @@
     }
 
     private suspend fun deliverOversized(reader: ResponseReader, start: ByteArray): AttemptOutcome {
+        if (reader.head.status in NOT_RUN_STATUSES) return failed("status ${reader.head.status}")
         listener.partArrived()
         startResponse(reader.head)
         exchange.write(start)
--- a/src/test/kotlin/org/persimmonrelay/forward/LongErrorTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/LongErrorTest.kt
@@ -10,9 +10,37 @@
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Responses that are longer than what a node buffers: errors that break off, and whole ones. */
+/** Responses that are longer than what a node buffers: refusals of requests that have run, errors, and whole ones. */
 class LongErrorTest {
     private val resumable = RouteKind.Streaming(resumable = true, pauseTarget = 100.milliseconds)
+    private val sound = { request: RecordedRequest, socket: Socket ->
+        socket.writeText(responseTo(request, "200 OK", "sound"))
+    }
+
+    // Guards against telling a caller "not run" of a request that has run, by an answer over the buffer (REFUSED).
+    @Test
+    fun `a long refusal without the word that it was not run is not passed on`() = forEachCase { framing, size ->
+        REFUSALS.forEach { status ->
+            val refusing = ScriptedServer { request, socket -> framing.respond(request, socket, status, size) }
+            ForwardFixture(RouteKind.NonIdempotent, listOf(refusing)).use { node ->
+                val response = node.exchange(request("r1"))
+
+                assertTrue(response.startsWith("HTTP/1.1 502"), "$status $framing $size: ${response.take(80)}")
+                assertEquals(1, refusing.requests.size)
+            }
+        }
+    }
+
+    // Guards against the same where the request may be repeated: it goes to another server.
+    @Test
+    fun `after a long refusal an idempotent request is served by another server`() = forEachCase { framing, size ->
+        REFUSALS.forEach { status ->
+            val refusing = ScriptedServer { request, socket -> framing.respond(request, socket, status, size) }
+            ForwardFixture(RouteKind.Idempotent, listOf(refusing, ScriptedServer(sound))).use { node ->
+                repeat(2) { assertTrue(node.exchange(request("r$it")).endsWith("sound"), "$status $framing $size") }
+            }
+        }
+    }
 
     // Guards against an answer of two servers: a broken error, then another one's events and a proper end (MIXED).
     @Test
