--- a/review/standin-3/Platform.java
+++ b/review/standin-3/Platform.java
@@ -31,9 +31,31 @@
     private final Log log;
     private final ServerSocket listener;
     private long version = 1;
+    /** The number that rises with each restore; the pages leave open where it starts. */
+    private long era;
+    private volatile boolean isAway;
+    private final java.util.ArrayDeque<Copy> copies = new java.util.ArrayDeque<>();
+    private final List<Report> reports = new ArrayList<>();
+
+    /** The content at [atNanos]. */
+    private record Copy(long atNanos, TreeMap<Key, Row> rows, long version) {}
+
+    /** A call of a duty. */
+    record Report(long atMs, String path, String holder, long token, String body) {}
 
     Platform(Log log) throws IOException {
+        this(log, 1);
+    }
+
+    Platform(Log log, long firstEra) throws IOException {
         this.log = log;
+        era = firstEra;
+        Http.thread(() -> {
+            while (true) {
+                copy();
+                Thread.sleep(100);
+            }
+        });
         listener = Http.listen(this::handle);
     }
 
@@ -51,6 +73,49 @@
         notifyAll();
     }
 
+    private synchronized void copy() {
+        copies.addLast(new Copy(System.nanoTime(), new TreeMap<>(rows), version));
+        if (copies.size() > 200) copies.removeFirst();
+    }
+
+    /** The store is away for [awayMs] and comes back from a copy that is [ageMs] old, without what was written since. */
+    void restore(long ageMs, long awayMs) throws InterruptedException {
+        synchronized (this) {
+            isAway = true;
+            notifyAll();
+        }
+        Thread.sleep(awayMs);
+        synchronized (this) {
+            long wanted = System.nanoTime() - (ageMs + awayMs) * 1_000_000L;
+            Copy copy = copies.getFirst();
+            for (Copy each : copies) if (each.atNanos <= wanted) copy = each;
+            TreeMap<Key, Row> lost = new TreeMap<>(rows);
+            rows.clear();
+            rows.putAll(copy.rows);
+            version = copy.version;
+            changes.removeIf(change -> change.version > version);
+            copies.clear();
+            era++;
+            log.line("store restored from a copy " + ageMs + " ms old, era " + era);
+            // What the operator and the servers wrote is written again.
+            for (Map.Entry<Key, Row> entry : lost.entrySet()) {
+                String table = entry.getKey().table;
+                if (!table.equals("op") && !table.equals("servers")) continue;
+                version++;
+                apply(entry.getKey(), entry.getValue().value);
+            }
+            isAway = false;
+            notifyAll();
+        }
+        copy();
+    }
+
+    List<Report> reports() {
+        synchronized (reports) {
+            return new ArrayList<>(reports);
+        }
+    }
+
     private void apply(Key key, String value) {
         if (value == null) rows.remove(key);
         else rows.put(key, new Row(value, version));
@@ -62,12 +127,19 @@
             Http.Message request = Http.readRequest(in);
             if (request == null) return;
             String path = request.target().split("\\?")[0];
+            if (isAway && path.startsWith("/api/")) return;
             switch (path) {
                 case "/api/rows-tx" -> transaction(request, out);
                 case "/api/rows-get" -> get(request, out);
                 case "/api/rows-feed" -> feed(request, out);
                 case "/usage", "/scale" -> {
-                    log.line("platform gets " + path + " " + new String(request.body, StandardCharsets.UTF_8));
+                    String text = new String(request.body, StandardCharsets.UTF_8);
+                    log.line("platform gets " + path + " " + request.field("Duty-Holder") + " " +
+                        request.field("Fencing-Token") + " " + text);
+                    synchronized (reports) {
+                        reports.add(new Report((System.nanoTime() - startedAt) / 1_000_000L, path,
+                            request.field("Duty-Holder"), Long.parseLong(request.field("Fencing-Token")), text));
+                    }
                     respond(out, 200, Json.map());
                 }
                 default -> respond(out, 404, Json.map());
@@ -141,7 +213,7 @@
         Map<String, Object> response = Json.map();
         synchronized (this) {
             List<Object> found = changed(table, after);
-            while (found.isEmpty()) {
+            while (found.isEmpty() && !isAway) {
                 long left = (deadline - System.nanoTime()) / 1_000_000L;
                 if (left <= 0) break;
                 wait(left);
@@ -184,6 +256,6 @@
     }
 
     private void respond(OutputStream out, int status, Map<String, Object> body) throws IOException {
-        Http.respond(out, status, "Content-Type: application/json\r\n", Json.write(body).getBytes(StandardCharsets.UTF_8));
+        Http.respond(out, status, "Content-Type: application/json\r\nStore-Era: " + era + "\r\n", Json.write(body).getBytes(StandardCharsets.UTF_8));
     }
 }
