--- a/review/standin-3/Relay.java
+++ b/review/standin-3/Relay.java
@@ -51,7 +51,7 @@
             "lease_ms", 3000L, "thaw_slack_ms", 300L, "usage_window_s", 5L, "usage_tolerance", 0.05, "usage_late_s",
             10L, "recovery_s", 12L, "transit_ms", 200L, "retry_after_s", 7.2);
         return Json.map("node", name, "role", "relay", "machine_class", "front", "serves", List.of("front"), "ip",
-            "127.0.0.1", "zone", "puget-a", "region", "puget", "zones", Json.map("puget-a", "puget"), "listen",
+            "127.0.0.1", "zone", "puget-a", "region", "puget", "zones", Json.map("puget-a", "puget", "inland-a", "inland"), "listen",
             Json.map("front", "127.0.0.1:" + callerPort, "readiness", "127.0.0.1:" + readinessPort), "internal_ports",
             List.of((long) Http.freePort(), (long) Http.freePort()), "seeds", List.of(), "bootstrap", true,
             "heartbeat_ms", 1200L, "bounds", bounds, "platform",
