--- a/src/main/kotlin/org/persimmonrelay/forward/RequestExecution.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/RequestExecution.kt
@@ -132,7 +132,7 @@
     private fun mayHedge(): Boolean =
         maySendAgain() && !isResponseCommitted() && dependencies.requestGuard.mayRetry(request.profile)
 
-    /** The attempts that count as such; those that have ended are in [history]. */
+    /** The attempts that have not ended; what the others did is in [history]. */
     private fun underWay() = running.filter { it.isUnderWay }
 
     private fun maySendAgain() = history.sends + underWay().size < MAX_SENDS && usedServers().size < MAX_TRIED_SERVERS
--- a/src/main/kotlin/org/persimmonrelay/forward/ResponseDelivery.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ResponseDelivery.kt
@@ -66,6 +66,7 @@
         return AttemptOutcome.Failed("status ${head.status}", response.takeIf { head.status !in NOT_RUN_STATUSES })
     }
 
+    /** Forwards a response that is too long to buffer while it arrives; it can't be retried after that. */
     private suspend fun deliverOversized(reader: ResponseReader, start: ByteArray): AttemptOutcome {
         if (reader.head.status in NOT_RUN_STATUSES) return failed("status ${reader.head.status}")
         listener.partArrived()
--- a/src/main/kotlin/org/persimmonrelay/forward/ServerNotices.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ServerNotices.kt
@@ -17,9 +17,9 @@
     private val clock: Clock,
 ) {
     /**
-     * The head of a response with [status] arrived on a connection to [server], to the present request or to an earlier
-     * one. A head without a request id proves nothing. A misdirected request shows that another server may have the
-     * address by now.
+     * The head of a response with [status] arrived on a connection to [server]; it may respond to an earlier request on
+     * it. The head is believed if it names a request, unless the request was misdirected: then another server may have
+     * the address by now.
      */
     fun headArrived(server: BackendServer, status: Int, fields: ServerResponseFields) {
         if (fields.requestId == null || status == MISDIRECTED) return
