A response without a length goes to callers in chunks, so that a killed node's cut shows

Cause: the node gave its callers the server's framing. The end of the connection was then the only end mark, and the system closes the connections of a killed process without a reset.

Evidence: the heads in the record have neither a length nor chunks, the server went on soundly, and SIGKILL leaves the node no time to end a response itself.

Change: the caller's connection decides the framing. HTTP/1.1 gets chunks, so that the missing last one shows the cut, and stays open. HTTP/1.0 gets none, also of servers that send chunks; its connection resets if it is closed before the response's end, by the node or by the end of the process. A malformed request behind a response no longer ends that as a whole one.

--- a/src/main/kotlin/org/persimmonrelay/forward/ResponseDelivery.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ResponseDelivery.kt
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import org.persimmonrelay.backend.InFlightRequest
 import org.persimmonrelay.clock.Moment
-import org.persimmonrelay.http.CallerFraming
 import org.persimmonrelay.http.CallerResponse
 import org.persimmonrelay.http.Framing
 import org.persimmonrelay.http.ResponsePart
@@ -148,8 +147,7 @@
     }
 
     private fun startResponse(head: ResponsePart.Head) {
-        val framing = if (head.framing == Framing.UNTIL_CLOSE) CallerFraming.UNTIL_CLOSE else CallerFraming.CHUNKED
-        exchange.startResponse(head.status, dependencies.headerCodec.callerHeaders(head.headers), framing)
+        exchange.startResponse(head.status, dependencies.headerCodec.callerHeaders(head.headers))
     }
 
     private fun delivered(status: Int): AttemptOutcome {
--- a/src/main/kotlin/org/persimmonrelay/http/CallerExchange.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/CallerExchange.kt
@@ -18,9 +18,6 @@
     public val closesConnection: Boolean = false,
 )
 
-/** How the end of a response body is marked to the caller: by chunks or by closing the connection. */
-public enum class CallerFraming { CHUNKED, UNTIL_CLOSE }
-
 /**
  * A caller's complete request and the means to respond to it. Either [respond] or [startResponse] is called, once. The
  * coroutine that handles the request is cancelled when the caller disconnects. Confined to its server's thread.
@@ -36,8 +33,11 @@
     /** Sends a complete response. */
     public fun respond(response: CallerResponse)
 
-    /** Sends status and headers of a response; send its body with [write] and finish with [endResponse]. */
-    public fun startResponse(status: Int, headers: HttpHeaders, framing: CallerFraming)
+    /**
+     * Sends status and headers of a response; send its body with [write] and finish with [endResponse]. Unless that is
+     * called, the caller can tell that the response is incomplete, even if the process is killed.
+     */
+    public fun startResponse(status: Int, headers: HttpHeaders)
 
     /** Sends bytes of the body; call [awaitWritable] before. */
     public fun write(bytes: ByteArray)
--- a/src/main/kotlin/org/persimmonrelay/http/CallerHttpConnection.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/CallerHttpConnection.kt
@@ -45,6 +45,7 @@
     private var partialRequest: HttpRequest? = null
     private var body = ByteArrayOutputStream(0)
     private var running: Job? = null
+    private var current: Exchange? = null
     private var isRejected = false
     private lateinit var context: ChannelHandlerContext
 
@@ -115,12 +116,14 @@
         context.channel().config().isAutoRead = true
         val job = scope.launch(start = CoroutineStart.LAZY) { handler.handle(exchange) }
         running = job
+        current = exchange
         job.invokeOnCompletion { failure -> context.executor().execute { onCompleted(exchange, failure) } }
         job.start()
     }
 
     private fun onCompleted(exchange: Exchange, failure: Throwable?) {
         running = null
+        current = null
         if (!context.channel().isActive) return
         if (failure != null || !exchange.isDone) return exchange.abort()
         if (pending.isEmpty() && partialRequest == null) timer().idle(context)
@@ -132,12 +135,18 @@
         isRejected = true
         partialRequest = null
         if (running != null) {
-            context.close()
+            closeWithinResponse()
         } else {
             write(rejectionRenderer.render(rejection), closeAfter = true, isHead = false)
         }
     }
 
+    /** Closes the connection; a response that has begun does not look complete. */
+    private fun closeWithinResponse() {
+        val unfinished = current?.takeIf { it.isResponseStarted && !it.isDone }
+        unfinished?.abort() ?: context.close()
+    }
+
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
         if (context.channel().isWritable) writable.trySend(Unit)
     }
@@ -156,7 +165,7 @@
     @Deprecated("Deprecated in Netty's base interface.")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         running?.cancel()
-        context.close()
+        closeWithinResponse()
     }
 
     private fun write(callerResponse: CallerResponse, closeAfter: Boolean, isHead: Boolean) {
@@ -181,6 +190,9 @@
     ) : CallerExchange {
         override val head = CallerHead(request.method().name(), request.uri(), request.headers())
         private val keepAlive = HttpUtil.isKeepAlive(request)
+
+        /** HTTP/1.0 has no chunks. */
+        private val acceptsChunks = request.protocolVersion() >= HttpVersion.HTTP_1_1
         private var closeAtEnd = false
         override var isResponseStarted = false
             private set
@@ -197,12 +209,12 @@
             )
         }
 
-        override fun startResponse(status: Int, headers: HttpHeaders, framing: CallerFraming) {
+        override fun startResponse(status: Int, headers: HttpHeaders) {
             isResponseStarted = true
-            closeAtEnd = framing == CallerFraming.UNTIL_CLOSE || !keepAlive || isDraining()
+            closeAtEnd = !acceptsChunks || !keepAlive || isDraining()
             val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
             response.headers().set(headers)
-            if (framing == CallerFraming.CHUNKED) HttpUtil.setTransferEncodingChunked(response, true)
+            if (acceptsChunks) HttpUtil.setTransferEncodingChunked(response, true) else setReset(true)
             if (closeAtEnd) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
             context.writeAndFlush(response)
         }
@@ -215,6 +227,7 @@
 
         override fun endResponse() {
             isDone = true
+            if (!acceptsChunks) setReset(false)
             val written = context.writeAndFlush(DefaultLastHttpContent())
             if (closeAtEnd) written.addListener(ChannelFutureListener.CLOSE)
         }
@@ -222,14 +235,22 @@
         override fun abort() {
             isDone = true
             if (!context.channel().isOpen) return
-            context.channel().config().setOption(ChannelOption.SO_LINGER, 0)
+            setReset(true)
             context.close()
         }
+
+        /** Whether closing the connection resets it. The system does so too if the process is killed. */
+        private fun setReset(isReset: Boolean) {
+            context.channel().config().setOption(ChannelOption.SO_LINGER, if (isReset) 0 else LINGER_DISABLED)
+        }
     }
 
     private companion object {
         /** Number of requests waiting on a connection at which reading from it pauses. */
         const val MAX_PIPELINED = 16
+
+        /** Value of SO_LINGER with which a closed connection ends after all that was written. */
+        const val LINGER_DISABLED = -1
         val HEAD: String = HttpMethod.HEAD.name()
         val BODYLESS_STATUSES = setOf(204, 304)
     }
