Wait for a reset as long as bytes of the request may be on the way to the server

Cause: the node looked for the reset once, 5 ms after the end of the server's output. The reset takes a round trip, or two. That the system had taken the request was held for the server having it.

Evidence: in the record the resets that came 13 ms after the end and later passed, the one that came after 3 ms gave a 502.

Change: RequestTransit bounds the round trip by the time to the response and by 100 ms. The reset is awaited for two round trips after the end, but not longer than a round trip after the last byte can have been sent; the connection is looked at every 5 ms. Requests of up to 2.5 KB wait 5 ms, as before.

--- a/src/main/kotlin/org/persimmonrelay/forward/ForwardServer.kt
+++ b/src/main/kotlin/org/persimmonrelay/forward/ForwardServer.kt
@@ -28,8 +28,11 @@
 public class ForwardServer(private val dependencies: ForwardServerDependencies, private val thread: EventLoopThread) {
     /** Decides which server gets a request; its calls belong to [thread]. */
     public val chooser: ServerChooser = ServerChooser(dependencies.place)
-    private val pools =
-        ServerConnectionPools(HttpConnector(thread), dependencies.limits::nodeCount, chooser::running)
+    private val pools = ServerConnectionPools(
+        HttpConnector(thread, dependencies.clock),
+        dependencies.limits::nodeCount,
+        chooser::running,
+    )
 
     /** The limits that servers name; its calls belong to [thread]. */
     public val requestLimits: ServerRequestLimits =
--- a/src/main/kotlin/org/persimmonrelay/http/HttpConnection.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/HttpConnection.kt
@@ -35,7 +35,7 @@
 
     /** Sends [request]; read its response with [receive]. */
     public fun send(request: OutgoingRequest) {
-        responses.requestStarted(isBodyless = request.method == HttpMethod.HEAD.name())
+        responses.requestStarted(request)
         val message = DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
             HttpMethod.valueOf(request.method),
--- a/src/main/kotlin/org/persimmonrelay/http/HttpConnector.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/HttpConnector.kt
@@ -14,6 +14,7 @@
 import io.netty.handler.ssl.SslContext
 import jdk.net.ExtendedSocketOptions
 import kotlinx.coroutines.suspendCancellableCoroutine
+import org.persimmonrelay.clock.Clock
 import java.net.ConnectException
 import kotlin.coroutines.resume
 import kotlin.time.Duration
@@ -28,10 +29,14 @@
 public class TlsServer(internal val context: SslContext, internal val name: String)
 
 /** Opens HTTP/1.1 connections whose input and output run on [thread], encrypted if [tls] is given. */
-public class HttpConnector(private val thread: EventLoopThread, private val tls: TlsServer? = null) {
+public class HttpConnector(
+    private val thread: EventLoopThread,
+    private val clock: Clock,
+    private val tls: TlsServer? = null,
+) {
     /** Connects to [address] within [timeout]. To be called on the connector's thread. */
     public suspend fun connect(address: ServerAddress, timeout: Duration): Either<ConnectFailure, HttpConnection> {
-        val responses = ResponseHandler()
+        val responses = ResponseHandler(clock)
         val bootstrap = Bootstrap()
             .group(thread.loop)
             .channelFactory(::ClientSocketChannel)
--- a/src/main/kotlin/org/persimmonrelay/http/ResponseHandler.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/ResponseHandler.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
@@ -14,14 +15,17 @@
 import io.netty.handler.ssl.SslHandler
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.channels.Channel
+import org.persimmonrelay.clock.Clock
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Converts data received on a connection to [ResponsePart]s, and closes the connection on invalid data and on data that
  * arrives while no response is expected. Reading pauses while [MAX_BUFFERED_BYTES] or more have not been received by
  * [receive]. Confined to the connection's thread.
  */
-internal class ResponseHandler : ChannelInboundHandlerAdapter() {
+internal class ResponseHandler(private val clock: Clock) : ChannelInboundHandlerAdapter() {
     val decoder = ResponseDecoder()
     private val parts = Channel<ResponsePart>(Channel.UNLIMITED)
     private var bufferedBytes = 0
@@ -36,6 +40,7 @@
         private set
 
     private var headsSinceRequest = 0
+    private var transit = RequestTransit(bodyBytes = 0, startedAt = clock.now())
 
     /** True when the connection must not be used for another request. */
     var isUnusable = false
@@ -51,17 +56,19 @@
     /** The server has marked the end of its output, as encrypted connections do. */
     private var isEndMarked = false
 
-    /** A request is about to be sent. Its response [isBodyless] if the request's method says so. */
-    fun requestStarted(isBodyless: Boolean) {
+    /** [request] is about to be sent. */
+    fun requestStarted(request: OutgoingRequest) {
         isResponseExpected = true
         isRequestWritten = false
         headsSinceRequest = 0
-        decoder.bodyless = isBodyless
+        decoder.bodyless = request.method == HttpMethod.HEAD.name()
+        transit = RequestTransit(request.body.size, startedAt = clock.now())
     }
 
     /** The whole request was written. */
     fun requestWritten() {
         isRequestWritten = true
+        transit = transit.copy(writtenAt = clock.now())
         if (isEndUnconfirmed) confirmEnd()
     }
 
@@ -116,6 +123,7 @@
         headsSinceRequest++
         if (headsSinceRequest > MAX_HEADS) return failConnection(context, "The server sent too many responses.")
         if (isInterim) return
+        transit = transit.copy(respondedAt = clock.now())
         val delimited = HttpUtil.isContentLengthSet(response) ||
             HttpUtil.isTransferEncodingChunked(response) ||
             decoder.bodyless ||
@@ -147,15 +155,26 @@
         if (isEndMarked) {
             parts.trySend(ResponsePart.End)
         } else {
-            context?.executor()?.schedule(::checkEnd, RESET_DELAY_MILLIS, TimeUnit.MILLISECONDS)
+            val now = clock.now()
+            awaitReset(transit.resetDeadline(now) - now)
         }
     }
 
-    /** A server that ended before it had read the request has reset the connection after the end of its output. */
-    private fun checkEnd() {
+    private fun awaitReset(remaining: Duration) {
+        val check = Runnable { checkEnd(remaining - RESET_CHECK_INTERVAL) }
+        context?.executor()?.schedule(check, RESET_CHECK_INTERVAL.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    /**
+     * A server that ended before it had read the request resets the connection after the end of its output, for
+     * [remaining] time from now at most.
+     */
+    private fun checkEnd(remaining: Duration) {
         val channel = context?.channel() as? ClientSocketChannel ?: return
         if (!channel.isOpen) return
-        parts.trySend(if (isEndProper(channel)) ResponsePart.End else ResponsePart.Broken(RESET))
+        val isProper = isEndProper(channel)
+        if (isProper && remaining.isPositive()) return awaitReset(remaining)
+        parts.trySend(if (isProper) ResponsePart.End else ResponsePart.Broken(RESET))
         channel.close()
     }
 
@@ -209,8 +228,8 @@
     private companion object {
         val BODYLESS_STATUSES = setOf(204, 304)
 
-        /** How long after the end of its output the reset of a server arrives. */
-        const val RESET_DELAY_MILLIS = 5L
+        /** Also the least time for which a reset is awaited; that of a server nearby comes sooner. */
+        val RESET_CHECK_INTERVAL = 5.milliseconds
         const val RESET = "The server reset the connection."
 
         /** Per connection; a response is read in parts of a few kilobytes. */
--- a/src/main/kotlin/org/persimmonrelay/http/ResponsePart.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/ResponsePart.kt
@@ -9,7 +9,7 @@
 
     /**
      * By the end of the connection. Truncation is detected only if the connection fails, also while the rest of the
-     * request is written.
+     * request is written or on its way to the server.
      */
     UNTIL_CLOSE,
 }
--- a/src/main/kotlin/org/persimmonrelay/http/StrictHttpEngine.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/StrictHttpEngine.kt
@@ -65,7 +65,7 @@
 
     private fun pool(endpoint: Endpoint): ConnectionPool = pools.getOrPut(endpoint) {
         val tls = endpoint.tlsName?.let { TlsServer(sslContext, it) }
-        ConnectionPool(HttpConnector(thread, tls), endpoint.address)
+        ConnectionPool(HttpConnector(thread, clock, tls), endpoint.address)
     }
 
     /** The address of [host]; a look-up would block the engine's thread. */
--- a/src/test/kotlin/org/persimmonrelay/adapter/AdapterHttpClientTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/adapter/AdapterHttpClientTest.kt
@@ -39,7 +39,7 @@
         bothConnected.await()
         if (socket !in silentSockets) socket.writeText("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
     }
-    private val http = AdapterHttpClient(HttpConnector(thread), SystemClock, SimpleMeterRegistry())
+    private val http = AdapterHttpClient(HttpConnector(thread, SystemClock), SystemClock, SimpleMeterRegistry())
 
     @AfterTest
     fun stop() {
--- a/src/test/kotlin/org/persimmonrelay/adapter/InvalidStoreResponseTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/adapter/InvalidStoreResponseTest.kt
@@ -105,7 +105,7 @@
         return PlatformStore(http(), { address }, SystemClock, SharedWallClock(SystemClock), RestoreCounter { _, _ -> })
     }
 
-    private fun http() = AdapterHttpClient(HttpConnector(thread), SystemClock, SimpleMeterRegistry())
+    private fun http() = AdapterHttpClient(HttpConnector(thread, SystemClock), SystemClock, SimpleMeterRegistry())
 
     private fun <T> onThread(block: suspend () -> T): T = runBlocking { withContext(thread.dispatcher) { block() } }
 
--- a/src/test/kotlin/org/persimmonrelay/adapter/PlatformTableTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/adapter/PlatformTableTest.kt
@@ -173,7 +173,7 @@
     }
 
     private fun platformStore() =
-        PlatformStore(AdapterHttpClient(HttpConnector(thread), clock, SimpleMeterRegistry()), {
+        PlatformStore(AdapterHttpClient(HttpConnector(thread, clock), clock, SimpleMeterRegistry()), {
             store.address
         }, clock, SharedWallClock(clock), RestoreCounter { _, _ -> })
 
--- a/src/test/kotlin/org/persimmonrelay/forward/ServerConnectionPoolsTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/ServerConnectionPoolsTest.kt
@@ -5,6 +5,7 @@
 import org.persimmonrelay.backend.BackendServer
 import org.persimmonrelay.backend.BackendServers
 import org.persimmonrelay.clock.Moment
+import org.persimmonrelay.clock.SystemClock
 import org.persimmonrelay.http.EventLoopThread
 import org.persimmonrelay.http.HttpConnector
 import org.persimmonrelay.http.ServerAddress
@@ -28,7 +29,7 @@
 
     private fun opened(server: BackendServer, running: Int): Int = runBlocking {
         withContext(thread.dispatcher) {
-            val pools = ServerConnectionPools(HttpConnector(thread), { 20 }, { running })
+            val pools = ServerConnectionPools(HttpConnector(thread, SystemClock), { 20 }, { running })
             var count = 0
             while (count < 200) {
                 val pool = pools.poolFor(server, 200, Moment.ZERO) ?: break
