Keep a caller's running request and its job in one place

Cause: two fields of a caller's connection were set and cleared together, and the choice between a reset and a plain close was hard to read. Changing the reset option of a connection that has just been closed would have thrown.

Change: one field; the choice is an if; a closed connection is left alone.

Measured: UndelimitedResponseTest, KilledProcessTest, StreamForwardingTest, ForwardingTest and PlannedStopTest pass, as before.

--- a/src/main/kotlin/org/persimmonrelay/http/CallerHttpConnection.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/CallerHttpConnection.kt
@@ -44,8 +44,7 @@
     private val writable = Channel<Unit>(Channel.CONFLATED)
     private var partialRequest: HttpRequest? = null
     private var body = ByteArrayOutputStream(0)
-    private var running: Job? = null
-    private var current: Exchange? = null
+    private var running: RunningExchange? = null
     private var isRejected = false
     private lateinit var context: ChannelHandlerContext
 
@@ -115,15 +114,13 @@
         val exchange = pending.removeFirstOrNull() ?: return
         context.channel().config().isAutoRead = true
         val job = scope.launch(start = CoroutineStart.LAZY) { handler.handle(exchange) }
-        running = job
-        current = exchange
+        running = RunningExchange(exchange, job)
         job.invokeOnCompletion { failure -> context.executor().execute { onCompleted(exchange, failure) } }
         job.start()
     }
 
     private fun onCompleted(exchange: Exchange, failure: Throwable?) {
         running = null
-        current = null
         if (!context.channel().isActive) return
         if (failure != null || !exchange.isDone) return exchange.abort()
         if (pending.isEmpty() && partialRequest == null) timer().idle(context)
@@ -141,10 +138,10 @@
         }
     }
 
-    /** Closes the connection; a response that has begun does not look complete. */
+    /** Closes the connection so that a response under way does not look complete to the caller. */
     private fun closeWithinResponse() {
-        val unfinished = current?.takeIf { it.isResponseStarted && !it.isDone }
-        unfinished?.abort() ?: context.close()
+        val exchange = running?.exchange
+        if (exchange != null && exchange.isResponseUnderWay) exchange.abort() else context.close()
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
@@ -159,12 +156,12 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         pending.clear()
-        running?.cancel()
+        running?.job?.cancel()
     }
 
     @Deprecated("Deprecated in Netty's base interface.")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        running?.cancel()
+        running?.job?.cancel()
         closeWithinResponse()
     }
 
@@ -183,6 +180,9 @@
         if (closeAfter) written.addListener(ChannelFutureListener.CLOSE)
     }
 
+    /** A request that [job] handles. */
+    private class RunningExchange(val exchange: Exchange, val job: Job)
+
     private inner class Exchange(
         private val request: HttpRequest,
         override val body: ByteArray,
@@ -191,13 +191,15 @@
         override val head = CallerHead(request.method().name(), request.uri(), request.headers())
         private val keepAlive = HttpUtil.isKeepAlive(request)
 
-        /** HTTP/1.0 has no chunks. */
+        /** HTTP/1.0 has no chunks; there the end of the connection ends a response without a length. */
         private val acceptsChunks = request.protocolVersion() >= HttpVersion.HTTP_1_1
         private var closeAtEnd = false
         override var isResponseStarted = false
             private set
         var isDone = false
             private set
+        val isResponseUnderWay: Boolean
+            get() = isResponseStarted && !isDone
 
         override fun respond(response: CallerResponse) {
             isResponseStarted = true
@@ -214,7 +216,7 @@
             closeAtEnd = !acceptsChunks || !keepAlive || isDraining()
             val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
             response.headers().set(headers)
-            if (acceptsChunks) HttpUtil.setTransferEncodingChunked(response, true) else setReset(true)
+            if (acceptsChunks) HttpUtil.setTransferEncodingChunked(response, true) else resetWhenClosed(true)
             if (closeAtEnd) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
             context.writeAndFlush(response)
         }
@@ -227,20 +229,20 @@
 
         override fun endResponse() {
             isDone = true
-            if (!acceptsChunks) setReset(false)
+            if (!acceptsChunks) resetWhenClosed(false)
             val written = context.writeAndFlush(DefaultLastHttpContent())
             if (closeAtEnd) written.addListener(ChannelFutureListener.CLOSE)
         }
 
         override fun abort() {
             isDone = true
-            if (!context.channel().isOpen) return
-            setReset(true)
+            resetWhenClosed(true)
             context.close()
         }
 
-        /** Whether closing the connection resets it. The system does so too if the process is killed. */
-        private fun setReset(isReset: Boolean) {
+        /** Sets whether the connection is reset when it is closed, also by the system if the process is killed. */
+        private fun resetWhenClosed(isReset: Boolean) {
+            if (!context.channel().isOpen) return
             context.channel().config().setOption(ChannelOption.SO_LINGER, if (isReset) 0 else LINGER_DISABLED)
         }
     }
