A response without a length keeps its reset until its last byte is sent

What callers saw: a caller of HTTP/1.0 that reads slowly got the first 3.6 of 16 MB and a proper end of the connection when the node was killed after its server had sent all. One that sent a second request got a reset within the first response (after 13.2 of 16 MB).

Cause: the reset that tells of a cut was called off when the node had the end of the response, not when the system had its bytes. A second request was still handled; the start of its response set the reset again while the first one was on its way to the caller.

Change: the last byte calls off the reset and closes the connection; nothing is read behind the end of such a response. It works since until then the system still resets the connection of a process that ends.

--- a/src/main/kotlin/org/persimmonrelay/http/CallerHttpConnection.kt
+++ b/src/main/kotlin/org/persimmonrelay/http/CallerHttpConnection.kt
@@ -45,7 +45,7 @@
     private var partialRequest: HttpRequest? = null
     private var body = ByteArrayOutputStream(0)
     private var running: RunningExchange? = null
-    private var isRejected = false
+    private var ignoresInput = false
     private lateinit var context: ChannelHandlerContext
 
     val isBusy: Boolean
@@ -67,7 +67,7 @@
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
-            if (!isRejected && message is HttpObject) accept(message)
+            if (!ignoresInput && message is HttpObject) accept(message)
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -128,9 +128,8 @@
     }
 
     private fun reject(rejection: RequestRejection) {
-        if (isRejected) return
-        isRejected = true
-        partialRequest = null
+        if (ignoresInput) return
+        ignoreInput()
         if (running != null) {
             closeWithinResponse()
         } else {
@@ -138,6 +137,12 @@
         }
     }
 
+    private fun ignoreInput() {
+        ignoresInput = true
+        partialRequest = null
+        pending.clear()
+    }
+
     /** Closes the connection so that a response under way does not look complete to the caller. */
     private fun closeWithinResponse() {
         val exchange = running?.exchange
@@ -229,9 +234,14 @@
 
         override fun endResponse() {
             isDone = true
-            if (!acceptsChunks) resetWhenClosed(false)
             val written = context.writeAndFlush(DefaultLastHttpContent())
-            if (closeAtEnd) written.addListener(ChannelFutureListener.CLOSE)
+            if (!closeAtEnd) return
+            ignoreInput()
+            written.addListener {
+                // Until all bytes are with the system, a close would be taken for the end of the response.
+                if (it.isSuccess) resetWhenClosed(false)
+                context.close()
+            }
         }
 
         override fun abort() {
--- a/src/test/kotlin/org/persimmonrelay/http/KilledProcessTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/http/KilledProcessTest.kt
@@ -5,9 +5,10 @@
 import kotlinx.coroutines.runBlocking
 import org.persimmonrelay.clock.SystemClock
 import java.io.IOException
-import java.io.InputStream
+import java.net.InetSocketAddress
 import java.net.Socket
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
@@ -31,26 +32,81 @@
         assertTrue(response.isReset, response.text)
     }
 
+    // Guards against the same when the response has ended, but the process still holds bytes for a slow caller.
+    @Test
+    fun `an HTTP 1_0 caller of a process that is killed with unsent bytes of an ended response gets a reset`() {
+        val response = exchange("HTTP/1.0", StreamingProcess.ENDED) { socket, process ->
+            process.killAfterEnd()
+            receive(socket) {}
+        }
+
+        assertTrue(response.isReset, "${response.text.length} characters of ${StreamingProcess.ENDED_BYTES}")
+    }
+
+    // Guards against the rejection of a second request, or its response, within the body of the first one.
+    @Test
+    fun `an HTTP 1_0 caller that sends a second request gets the first response and nothing behind it`() {
+        for (second in listOf("no request\r\n\r\n", "GET / HTTP/1.0\r\nHost: h\r\n\r\n")) {
+            val response = exchange("HTTP/1.0", StreamingProcess.ENDED) { socket, process ->
+                process.awaitEnd()
+                socket.getOutputStream().write(second.toByteArray())
+                receive(socket) {}
+            }
+
+            val body = response.text.substringAfter("\r\n\r\n")
+            assertFalse(response.isReset, "$second: ${body.length}")
+            assertEquals("~".repeat(StreamingProcess.ENDED_BYTES), body, second)
+        }
+    }
+
     private data class Received(val text: String, val isReset: Boolean)
 
-    private fun responseOfKilledProcess(version: String): Received {
-        val java = ProcessHandle.current().info().command().orElse("java")
-        val classes = System.getProperty("java.class.path")
-        val process = ProcessBuilder(java, "-cp", classes, StreamingProcess::class.java.name).start()
+    private fun responseOfKilledProcess(version: String): Received =
+        exchange(version, "/") { socket, process -> receive(socket) { process.kill() } }
+
+    /** Sends a request for [path] to a [StreamingProcess] and returns what [receive] does. */
+    private fun exchange(version: String, path: String, receive: (Socket, RunningProcess) -> Received): Received {
+        val process = RunningProcess()
         try {
-            val port = process.inputStream.bufferedReader().readLine().toInt()
-            return Socket("127.0.0.1", port).use { socket ->
+            return Socket().use { socket ->
+                socket.receiveBufferSize = RECEIVE_BUFFER_BYTES
+                socket.connect(InetSocketAddress("127.0.0.1", process.port))
                 socket.soTimeout = READ_TIMEOUT_MILLIS
-                socket.getOutputStream().write("GET / $version\r\nHost: h\r\n\r\n".toByteArray())
-                receive(socket.getInputStream()) { process.destroyForcibly() }
+                socket.getOutputStream().write("GET $path $version\r\nHost: h\r\n\r\n".toByteArray())
+                receive(socket, process)
             }
         } finally {
-            process.destroyForcibly()
+            process.kill()
+        }
+    }
+
+    private class RunningProcess {
+        private val process = ProcessBuilder(
+            ProcessHandle.current().info().command().orElse("java"),
+            "-cp",
+            System.getProperty("java.class.path"),
+            StreamingProcess::class.java.name,
+        ).start()
+        private val lines = process.inputStream.bufferedReader()
+        val port = lines.readLine().toInt()
+
+        /** Waits until the process has ended its response. */
+        fun awaitEnd() = assertEquals(StreamingProcess.ENDED, lines.readLine())
+
+        fun killAfterEnd() {
+            awaitEnd()
+            kill()
+        }
+
+        /** Returns once the process is gone. */
+        fun kill() {
+            process.destroyForcibly().waitFor()
         }
     }
 
     /** Reads to the end of the connection; [eventArrived] is called once the event is there. */
-    private fun receive(input: InputStream, eventArrived: () -> Unit): Received {
+    private fun receive(socket: Socket, eventArrived: () -> Unit): Received {
+        val input = socket.getInputStream().buffered()
         val text = StringBuilder()
         try {
             while (true) {
@@ -66,12 +122,22 @@
 
     private companion object {
         const val READ_TIMEOUT_MILLIS = 20_000
+
+        /** Far below [StreamingProcess.ENDED_BYTES], so that most bytes stay with the process. */
+        const val RECEIVE_BUFFER_BYTES = 16_384
     }
 }
 
-/** Program that begins to respond to each request and never ends. It prints its port once it listens. */
+/**
+ * Program that prints its port once it listens. It begins to respond to each request and never ends, but for the path
+ * [ENDED]: there it sends a body of [ENDED_BYTES] and prints the path after the end.
+ */
 object StreamingProcess {
     const val EVENT = "id: 1\ndata: piece\n\n"
+    const val ENDED = "/ended"
+
+    /** More than the system's buffers of a connection hold. */
+    const val ENDED_BYTES = 16_000_000
 
     @JvmStatic
     fun main(arguments: Array<String>) {
@@ -95,7 +161,14 @@
 
     private suspend fun respond(exchange: CallerExchange) {
         exchange.startResponse(200, DefaultHttpHeaders())
+        if (exchange.head.path == ENDED) return respondToEnd(exchange)
         exchange.write(EVENT.toByteArray())
         awaitCancellation()
     }
+
+    private fun respondToEnd(exchange: CallerExchange) {
+        exchange.write("~".repeat(ENDED_BYTES).toByteArray())
+        exchange.endResponse()
+        println(ENDED)
+    }
 }
