--- a/src/test/kotlin/org/persimmonrelay/forward/UndelimitedResponseTest.kt
+++ b/src/test/kotlin/org/persimmonrelay/forward/UndelimitedResponseTest.kt
@@ -60,7 +60,7 @@
         }
     }
 
-    // Guards against a part that an HTTP/1.0 caller takes for the whole, since the node closed the connection within it.
+    // Guards against a part that an HTTP/1.0 caller takes for the whole, as the node closed the connection within it.
     @Test
     fun `a malformed second request does not end the first response as a whole one`() {
         val server = ScriptedServer { request, socket ->
